--- /dev/null
+++ b/Libraries/LibCoordination/MemberTable.cpp
@@ -0,0 +1,113 @@
+#include "LibCoordination/MemberTable.h"
+
+#include <algorithm>
+
+namespace Papaya {
+
+namespace {
+
+TimePoint lastSign(const MemberTable &table, MemberId member)
+{
+    TimePoint sign {};
+    if (const auto listed = table.listedSince.find(member); listed != table.listedSince.end())
+        sign = listed->second;
+    if (const auto seen = table.observations.find(member); seen != table.observations.end())
+        sign = std::max(sign, seen->second.heardAt);
+    return sign;
+}
+
+Member describeMember(const MemberTable &table, const VirtualMachine &machine, TimePoint now)
+{
+    Member member;
+    member.id = hashOf(machine.name);
+    member.name = machine.name;
+    member.daemon = machine.daemon;
+    member.health = healthOf(table, member.id, now);
+    member.isLeaving = machine.state == VmState::Leaving;
+    if (const auto seen = table.observations.find(member.id); seen != table.observations.end()) {
+        member.incarnation = seen->second.last.incarnation;
+        member.isLeaving = member.isLeaving || seen->second.last.isLeaving;
+        member.load = seen->second.last.load;
+    }
+    return member;
+}
+
+} // namespace
+
+bool applyVmList(MemberTable &table, const VmList &machines, TimePoint now)
+{
+    if (machines.version < table.machines.version)
+        return false;
+    table.machines = machines;
+    for (const auto &machine : machines.machines)
+        table.listedSince.emplace(hashOf(machine.name), now);
+    const auto isUnlisted = [&](MemberId member) {
+        return std::none_of(machines.machines.begin(), machines.machines.end(), [&](const VirtualMachine &machine) {
+            return hashOf(machine.name) == member;
+        });
+    };
+    std::erase_if(table.listedSince, [&](const auto &entry) { return isUnlisted(entry.first); });
+    std::erase_if(table.observations, [&](const auto &entry) { return isUnlisted(entry.first); });
+    return true;
+}
+
+HeartbeatEffect applyHeartbeat(MemberTable &table, const Heartbeat &heartbeat, TimePoint now)
+{
+    HeartbeatEffect effect;
+    const auto known = table.observations.find(heartbeat.sender);
+    if (known == table.observations.end()) {
+        effect.isNew = true;
+    } else {
+        const auto &last = known->second.last;
+        if (heartbeat.incarnation < last.incarnation)
+            return effect;
+        effect.hasRestarted = heartbeat.incarnation != last.incarnation;
+        effect.hasChangedLeaving = heartbeat.isLeaving != last.isLeaving;
+    }
+    table.observations[heartbeat.sender] = Observation {heartbeat, now};
+    return effect;
+}
+
+bool tick(MemberTable &table, TimePoint now)
+{
+    const bool isFirst = table.lastTick == TimePoint {};
+    const bool wasPaused = !isFirst && now - table.lastTick > table.times.pauseThreshold;
+    table.lastTick = now;
+    if (!wasPaused)
+        return false;
+    for (auto &[member, since] : table.listedSince)
+        since = now;
+    return true;
+}
+
+MemberHealth healthOf(const MemberTable &table, MemberId member, TimePoint now)
+{
+    if (table.unobserved.contains(member))
+        return MemberHealth::Alive;
+    const auto silence = now - lastSign(table, member);
+    if (silence >= table.times.expireAfter)
+        return MemberHealth::Expired;
+    if (silence >= table.times.suspectAfter)
+        return MemberHealth::Suspect;
+    return MemberHealth::Alive;
+}
+
+std::vector<Member> membersOfGroup(const MemberTable &table, std::string_view group, TimePoint now)
+{
+    std::vector<Member> members;
+    for (const auto &machine : table.machines.machines) {
+        if (machine.role == VmRole::Target && machine.group == group)
+            members.push_back(describeMember(table, machine, now));
+    }
+    return members;
+}
+
+MembersByService membersOfServices(const MemberTable &table, const Configuration &configuration, TimePoint now)
+{
+    MembersByService members;
+    for (const auto &service : configuration.services)
+        members[service.name] = membersOfGroup(table, service.targetGroup, now);
+    return members;
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibCoordination/PeerSelection.cpp
@@ -0,0 +1,72 @@
+#include "LibCoordination/PeerSelection.h"
+
+#include "LibCoordination/RendezvousHash.h"
+#include "LibState/FlowKey.h"
+
+#include <algorithm>
+
+namespace Papaya {
+
+namespace {
+
+template <typename Predicate>
+std::vector<VirtualMachine>
+rankMachines(std::span<const VirtualMachine> machines, std::uint64_t key, std::size_t count, Predicate isCandidate)
+{
+    std::vector<const VirtualMachine *> candidates;
+    std::vector<std::uint64_t> ids;
+    for (const auto &machine : machines) {
+        if (!isCandidate(machine))
+            continue;
+        candidates.push_back(&machine);
+        ids.push_back(hashOf(machine.name));
+    }
+    std::vector<VirtualMachine> ranked;
+    for (const auto index : rendezvousRank(ids, key, count))
+        ranked.push_back(*candidates[index]);
+    return ranked;
+}
+
+/// One constant for every reader election, so that all daemons rank alike.
+constexpr std::uint64_t ReaderElectionKey = 0x72656164657273ULL;
+
+} // namespace
+
+std::vector<VirtualMachine> selectPeers(std::span<const VirtualMachine> machines, const VirtualMachine &self, const PeerLimits &limits)
+{
+    const auto key = hashOf(self.name);
+    const auto isNear = [&](const VirtualMachine &machine) {
+        return machine.name != self.name && machine.failureDomain == self.failureDomain;
+    };
+    const auto isFar = [&](const VirtualMachine &machine) { return machine.failureDomain != self.failureDomain; };
+    auto peers = rankMachines(machines, key, limits.nearPeers, isNear);
+    auto far = rankMachines(machines, key, limits.farPeers, isFar);
+    peers.insert(peers.end(), std::make_move_iterator(far.begin()), std::make_move_iterator(far.end()));
+    return peers;
+}
+
+bool isPlatformReader(std::span<const VirtualMachine> machines, std::string_view self, const PeerLimits &limits)
+{
+    const auto own = std::find_if(machines.begin(), machines.end(), [&](const VirtualMachine &machine) { return machine.name == self; });
+    if (own == machines.end())
+        return true;
+    const auto isOfDomain = [&](const VirtualMachine &machine) { return machine.failureDomain == own->failureDomain; };
+    const auto readers = rankMachines(machines, ReaderElectionKey, limits.platformReaders, isOfDomain);
+    return std::any_of(readers.begin(), readers.end(), [&](const VirtualMachine &machine) { return machine.name == self; });
+}
+
+std::vector<VirtualMachine>
+selectHeartbeatObservers(std::span<const VirtualMachine> machines, const VirtualMachine &self, const PeerLimits &limits)
+{
+    const auto key = hashOf(self.name);
+    const auto isEntry = [](const VirtualMachine &machine) { return machine.role == VmRole::Entry; };
+    const auto isServicePeer = [&](const VirtualMachine &machine) {
+        return machine.role == VmRole::Target && machine.group == self.group && machine.name != self.name;
+    };
+    auto observers = rankMachines(machines, key, limits.heartbeatObservers, isEntry);
+    auto peers = rankMachines(machines, key, limits.heartbeatServicePeers, isServicePeer);
+    observers.insert(observers.end(), std::make_move_iterator(peers.begin()), std::make_move_iterator(peers.end()));
+    return observers;
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibCoordination/RequestPolicy.cpp
@@ -0,0 +1,219 @@
+#include "LibCoordination/RequestPolicy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Papaya {
+
+namespace {
+
+/// Classes kept before the least useful knowledge, all of it, is dropped.
+constexpr std::size_t ClassLimit = 4'096;
+
+/// Attempts after which a request is given up even when the budget has tokens left.
+constexpr int AttemptLimit = 3;
+
+/// The pause before a request is sent again.
+constexpr Duration RetryPause {50};
+
+double meanOrInitial(const RequestQueue &queue)
+{
+    return queue.meanServiceTime > 0 ? queue.meanServiceTime : queue.limits.initialServiceTime;
+}
+
+bool isLongWork(const RequestQueue &queue, const RequestTraits &traits)
+{
+    return expectedServiceTime(queue, traits.workClass) > meanOrInitial(queue) * queue.limits.longWorkFactor;
+}
+
+int runningLongWork(const RequestQueue &queue)
+{
+    return static_cast<int>(std::count_if(
+        queue.running.begin(), queue.running.end(), [&](const RunningRequest &request) { return isLongWork(queue, request.traits); }));
+}
+
+double rankValue(const RequestQueue &queue, const RequestTraits &traits, TimePoint now)
+{
+    const auto waited = static_cast<double>((now - traits.arrivedAt).count());
+    if (queue.limits.order == QueueOrder::FirstComeFirstServed)
+        return -waited;
+    // Subtracting the wait bounds how long a long request can be passed by shorter ones.
+    return expectedServiceTime(queue, traits.workClass) - waited;
+}
+
+std::deque<RequestTraits>::iterator pickNext(RequestQueue &queue, TimePoint now)
+{
+    const auto longAllowed = queue.openSlots - std::min(queue.limits.slotsKeptForShortWork, queue.openSlots - 1);
+    const bool isLongWorkFull = queue.limits.slotsKeptForShortWork > 0 && runningLongWork(queue) >= longAllowed;
+    auto best = queue.waiting.end();
+    for (auto candidate = queue.waiting.begin(); candidate != queue.waiting.end(); ++candidate) {
+        if (candidate->deadline <= now || candidate->notBefore > now)
+            continue;
+        if (isLongWorkFull && isLongWork(queue, *candidate))
+            continue;
+        if (best == queue.waiting.end() || rankValue(queue, *candidate, now) < rankValue(queue, *best, now))
+            best = candidate;
+    }
+    return best;
+}
+
+void learn(RequestQueue &queue, std::uint64_t workClass, double serviceTime)
+{
+    const auto smooth = [&](double mean) { return mean <= 0 ? serviceTime : mean + queue.limits.smoothing * (serviceTime - mean); };
+    queue.meanServiceTime = smooth(queue.meanServiceTime);
+    if (queue.serviceTimeByClass.size() >= ClassLimit && !queue.serviceTimeByClass.contains(workClass))
+        queue.serviceTimeByClass.clear();
+    auto &ofClass = queue.serviceTimeByClass[workClass];
+    ofClass = smooth(ofClass);
+}
+
+} // namespace
+
+std::string_view admissionName(Admission admission)
+{
+    switch (admission) {
+    case Admission::Admitted:
+        return "admitted";
+    case Admission::QueueFull:
+        return "queue_full";
+    case Admission::DeadlineUnmeetable:
+        return "deadline_unmeetable";
+    case Admission::TargetDown:
+        return "target_down";
+    }
+    return "unknown";
+}
+
+std::string_view nextStepName(NextStep step)
+{
+    switch (step) {
+    case NextStep::DeliverAnswer:
+        return "answered";
+    case NextStep::Retry:
+        return "retry";
+    case NextStep::ReportNotRun:
+        return "not-run";
+    case NextStep::ReportUnknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+void startCold(RequestQueue &queue)
+{
+    queue.openSlots = 1;
+}
+
+void earnRetry(RetryBudget &budget)
+{
+    budget.tokens = std::min(budget.capacity, budget.tokens + budget.perRequest);
+}
+
+bool spendRetry(RetryBudget &budget)
+{
+    if (budget.tokens < 1)
+        return false;
+    budget.tokens -= 1;
+    return true;
+}
+
+double expectedServiceTime(const RequestQueue &queue, std::uint64_t workClass)
+{
+    const auto found = queue.serviceTimeByClass.find(workClass);
+    return found == queue.serviceTimeByClass.end() ? meanOrInitial(queue) : found->second;
+}
+
+double expectedWait(const RequestQueue &queue)
+{
+    const auto open = std::max(1, queue.openSlots);
+    const auto running = static_cast<int>(queue.running.size());
+    if (running < open && queue.waiting.empty())
+        return 0;
+    double work = 0;
+    for (const auto &request : queue.waiting)
+        work += expectedServiceTime(queue, request.workClass);
+    // On average half of each running request is still to do.
+    work += static_cast<double>(running) * meanOrInitial(queue) / 2;
+    return work / open;
+}
+
+Admission admit(RequestQueue &queue, const RequestTraits &traits, TimePoint now)
+{
+    if (queue.isTargetDown)
+        return Admission::TargetDown;
+    const bool hasFreeSlot = static_cast<int>(queue.running.size()) < queue.openSlots && queue.waiting.empty();
+    if (!hasFreeSlot && static_cast<int>(queue.waiting.size()) >= queue.limits.queueLimit)
+        return Admission::QueueFull;
+    const auto remaining = static_cast<double>((traits.deadline - now).count());
+    const auto needed = expectedWait(queue) + expectedServiceTime(queue, traits.workClass);
+    if (remaining <= 0 || (queue.limits.shedsUnmeetable && !hasFreeSlot && needed > remaining))
+        return Admission::DeadlineUnmeetable;
+    queue.waiting.push_back(traits);
+    return Admission::Admitted;
+}
+
+std::vector<RequestTraits> takeExpired(RequestQueue &queue, TimePoint now)
+{
+    std::vector<RequestTraits> expired;
+    for (const auto &request : queue.waiting) {
+        if (request.deadline <= now)
+            expired.push_back(request);
+    }
+    std::erase_if(queue.waiting, [&](const RequestTraits &request) { return request.deadline <= now; });
+    return expired;
+}
+
+std::vector<RequestTraits> dispatch(RequestQueue &queue, TimePoint now)
+{
+    std::vector<RequestTraits> started;
+    while (!queue.isTargetDown && static_cast<int>(queue.running.size()) < queue.openSlots) {
+        const auto next = pickNext(queue, now);
+        if (next == queue.waiting.end())
+            break;
+        auto traits = *next;
+        queue.waiting.erase(next);
+        ++traits.attempts;
+        queue.running.push_back({traits, now});
+        started.push_back(traits);
+    }
+    return started;
+}
+
+bool cancelWaiting(RequestQueue &queue, RequestId id)
+{
+    return std::erase_if(queue.waiting, [&](const RequestTraits &request) { return request.id == id; }) > 0;
+}
+
+void requeue(RequestQueue &queue, RequestTraits traits, TimePoint now)
+{
+    traits.notBefore = now + RetryPause;
+    queue.waiting.push_back(traits);
+}
+
+void finish(RequestQueue &queue, RequestId id, AttemptEnd end, TimePoint now)
+{
+    const auto running =
+        std::find_if(queue.running.begin(), queue.running.end(), [&](const RunningRequest &request) { return request.traits.id == id; });
+    if (running == queue.running.end())
+        return;
+    if (end == AttemptEnd::Answered)
+        learn(queue, running->traits.workClass, static_cast<double>((now - running->startedAt).count()));
+    if (end == AttemptEnd::Answered)
+        queue.openSlots = std::min(queue.limits.slots, queue.openSlots + 1);
+    else if (end == AttemptEnd::Refused)
+        queue.openSlots = std::max(1, queue.openSlots / 2);
+    queue.running.erase(running);
+}
+
+NextStep decideNextStep(AttemptEnd end, const RequestTraits &traits, RetryBudget &budget, TimePoint now)
+{
+    if (end == AttemptEnd::Answered)
+        return NextStep::DeliverAnswer;
+    const bool isKnownNotRun = end == AttemptEnd::Refused || end == AttemptEnd::NothingSent;
+    const bool mayRepeat = isKnownNotRun || (traits.isIdempotent && end == AttemptEnd::Broken);
+    if (mayRepeat && traits.deadline > now && traits.attempts < AttemptLimit && spendRetry(budget))
+        return NextStep::Retry;
+    return isKnownNotRun ? NextStep::ReportNotRun : NextStep::ReportUnknown;
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibCoordination/RoutingTable.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "LibState/Configuration.h"
+#include "LibState/FlowKey.h"
+#include "LibState/Member.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace Papaya {
+
+/// The agents of one service as an entry daemon may address them.
+struct ServiceRoute {
+    ServiceId service = 0;
+    std::string name;
+    /// Agents that may be given new flows; parallel to `eligibleIds`.
+    std::vector<Member> eligible;
+    std::vector<std::uint64_t> eligibleIds;
+};
+
+/// What an entry daemon needs for each packet; immutable once built.
+struct RoutingTable {
+    std::uint64_t revision = 0;
+    std::vector<ServiceRoute> services;
+    /// Index into `services` by service address.
+    std::unordered_map<std::uint64_t, std::size_t> serviceByAddress;
+};
+
+/// Why a packet was routed the way it was.
+enum class RouteReason {
+    FirstRanked,
+    UnknownService,
+    NoEligibleTarget,
+};
+
+/// Returns the stable name of a reason for logs.
+[[nodiscard]] std::string_view routeReasonName(RouteReason reason);
+
+/// Where a packet goes. `route` and `home` are set only for FirstRanked.
+struct RouteDecision {
+    RouteReason reason = RouteReason::UnknownService;
+    const ServiceRoute *route = nullptr;
+    const Member *home = nullptr;
+};
+
+/// The members of one service, by the name of the service.
+using MembersByService = std::unordered_map<std::string, std::vector<Member>>;
+
+/// Builds the table from a configuration and the members of each of its services.
+/// When no member of a service is eligible, those that are merely suspect or leaving are kept rather than none.
+[[nodiscard]] RoutingTable buildRoutingTable(const Configuration &configuration, const MembersByService &members);
+
+/// Routes one flow: its service by destination address, then the first-ranked agent.
+[[nodiscard]] RouteDecision routeFlow(const RoutingTable &table, const FlowKey &flow);
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/DaemonMessages.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "LibCoordination/RevisionDecision.h"
+#include "LibState/Configuration.h"
+#include "LibState/VmList.h"
+
+#include <caf/all.hpp>
+
+#include <memory>
+#include <string>
+
+/// The messages that the tasks of one daemon send one another.
+namespace Papaya {
+
+/// Sent by the timer service to its subscribers.
+struct Tick {
+};
+
+/// Asks the timer service for a Tick in every interval.
+struct SubscribeToTicks {
+    caf::actor subscriber;
+    Duration interval;
+};
+
+/// Asks the knowledge task for every text and list in force, now and from now on.
+struct SubscribeToKnowledge {
+    caf::actor subscriber;
+};
+
+/// A configuration text that the platform or a peer offers.
+struct OfferConfiguration {
+    RevisionedText text;
+    RevisionSource source = RevisionSource::Platform;
+};
+
+/// A VM list that the platform or a peer offers.
+struct OfferVmList {
+    std::string text;
+    RevisionSource source = RevisionSource::Platform;
+};
+
+/// A peer said which revision it has in force.
+struct PeerHasRevision {
+    std::uint64_t revision = 0;
+};
+
+/// A configuration is in force from now on.
+struct ConfigurationInForce {
+    std::shared_ptr<const Configuration> configuration;
+    std::shared_ptr<const RevisionedText> text;
+};
+
+/// A VM list is in force from now on.
+struct VmListInForce {
+    std::shared_ptr<const VmList> list;
+    std::shared_ptr<const std::string> text;
+};
+
+/// Asks a daemon's main task for its state; answered with StatusReport.
+struct AskStatus {
+};
+
+/// The state of a daemon as its operators see it.
+struct StatusReport {
+    bool isReady = false;
+    std::string statusJson;
+    std::string metricsText;
+};
+
+/// Asks a daemon's main task how it would treat a flow; answered with ExplainReport. Nothing is changed.
+struct AskExplain {
+    std::string flow;
+};
+
+/// How a daemon would treat a flow, as JSON.
+struct ExplainReport {
+    std::string json;
+};
+
+/// Asks a task to stop without cutting anything.
+struct Stop {
+};
+
+/// Tells the program that its main task has nothing left to do.
+struct Stopped {
+};
+
+} // namespace Papaya
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::Tick)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::SubscribeToTicks)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::SubscribeToKnowledge)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::OfferConfiguration)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::OfferVmList)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::PeerHasRevision)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::ConfigurationInForce)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::VmListInForce)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::AskStatus)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::StatusReport)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::AskExplain)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::ExplainReport)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::Stop)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::Stopped)
--- /dev/null
+++ b/Libraries/LibTransport/DatagramSocket.cpp
@@ -0,0 +1,86 @@
+#include "LibTransport/DatagramSocket.h"
+
+#include "LibProtocol/DatagramCodec.h"
+#include "LibTransport/SocketAddress.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace Papaya {
+
+namespace {
+
+constexpr std::size_t BatchSize = 64;
+constexpr int SocketBufferSize = 4 * 1024 * 1024;
+
+} // namespace
+
+struct DatagramSocket::ReceiveBuffers {
+    std::array<std::array<std::byte, DatagramSizeLimit>, BatchSize> bytes {};
+    std::array<sockaddr_in, BatchSize> senders {};
+    std::array<iovec, BatchSize> vectors {};
+    std::array<mmsghdr, BatchSize> headers {};
+
+    void prepare()
+    {
+        for (std::size_t index = 0; index < BatchSize; ++index) {
+            vectors[index] = {bytes[index].data(), bytes[index].size()};
+            auto &header = headers[index].msg_hdr;
+            header = {};
+            header.msg_name = &senders[index];
+            header.msg_namelen = sizeof(sockaddr_in);
+            header.msg_iov = &vectors[index];
+            header.msg_iovlen = 1;
+        }
+    }
+};
+
+DatagramSocket::DatagramSocket(FileDescriptor descriptor)
+    : m_descriptor(std::move(descriptor))
+    , m_buffers(std::make_shared<ReceiveBuffers>())
+{
+}
+
+Result<DatagramSocket> DatagramSocket::bind(const Endpoint &endpoint)
+{
+    FileDescriptor descriptor(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const auto address = toSocketAddress(endpoint);
+    const bool isBound =
+        descriptor.isOpen() && ::bind(descriptor.get(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    if (!isBound)
+        return Failure {FailureKind::SocketFailed, 0, "bind " + toString(endpoint) + ": " + std::strerror(errno)};
+    // A burst may outrun one turn of the loop; a refusal of the larger buffer is harmless.
+    ::setsockopt(descriptor.get(), SOL_SOCKET, SO_RCVBUF, &SocketBufferSize, sizeof(SocketBufferSize));
+    ::setsockopt(descriptor.get(), SOL_SOCKET, SO_SNDBUF, &SocketBufferSize, sizeof(SocketBufferSize));
+    return DatagramSocket(std::move(descriptor));
+}
+
+std::size_t DatagramSocket::receive(const Handler &handler)
+{
+    m_buffers->prepare();
+    const int count = ::recvmmsg(m_descriptor.get(), m_buffers->headers.data(), BatchSize, MSG_DONTWAIT, nullptr);
+    if (count <= 0)
+        return 0;
+    for (std::size_t index = 0; index < static_cast<std::size_t>(count); ++index) {
+        const auto &header = m_buffers->headers[index];
+        if ((header.msg_hdr.msg_flags & MSG_TRUNC) != 0)
+            continue;
+        handler(std::span(m_buffers->bytes[index]).first(header.msg_len), fromSocketAddress(m_buffers->senders[index]));
+    }
+    return static_cast<std::size_t>(count);
+}
+
+void DatagramSocket::send(const Endpoint &to, std::span<const std::byte> datagram) const
+{
+    const auto address = toSocketAddress(to);
+    (void)::sendto(m_descriptor.get(),
+                   datagram.data(),
+                   datagram.size(),
+                   MSG_DONTWAIT | MSG_NOSIGNAL,
+                   reinterpret_cast<const sockaddr *>(&address),
+                   sizeof(address));
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/EventLog.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "LibState/Clock.h"
+#include "LibState/Failure.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Papaya {
+
+/// How much an operator should care.
+enum class LogLevel {
+    Info,
+    Warning,
+    Error,
+};
+
+/// Sets up logging to standard error, without files: the VMs have no disks. Call once in each program.
+void startLogging();
+
+/// One event, written as a line of key=value pairs when the object goes out of scope.
+class EventLog
+{
+public:
+    explicit EventLog(std::string_view event, LogLevel level = LogLevel::Info);
+    ~EventLog();
+    EventLog(const EventLog &) = delete;
+    EventLog &operator=(const EventLog &) = delete;
+
+    EventLog &with(std::string_view key, std::string_view value);
+    EventLog &with(std::string_view key, std::uint64_t value);
+    EventLog &with(const Failure &failure);
+
+private:
+    LogLevel m_level;
+    std::string m_line;
+};
+
+/// Bounds how many lines of one kind are written each second, and counts those left out.
+class LogBudget
+{
+public:
+    explicit LogBudget(int linesPerSecond)
+        : m_linesPerSecond(linesPerSecond)
+    {
+    }
+
+    /// Returns whether a line may be written now.
+    [[nodiscard]] bool take(TimePoint now);
+
+    /// Returns how many lines were left out since the last call.
+    [[nodiscard]] std::uint64_t takeSuppressed();
+
+private:
+    int m_linesPerSecond;
+    int m_used = 0;
+    TimePoint m_windowStart;
+    std::uint64_t m_suppressed = 0;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/KnowledgeTask.cpp
@@ -0,0 +1,107 @@
+#include "LibTransport/KnowledgeTask.h"
+
+#include "LibProtocol/ConfigurationText.h"
+#include "LibProtocol/VmListJson.h"
+#include "LibTransport/EventLog.h"
+#include "LibTransport/MonotonicClock.h"
+
+namespace Papaya {
+
+namespace {
+
+std::string_view sourceName(RevisionSource source)
+{
+    return source == RevisionSource::Platform ? "platform" : "peer";
+}
+
+} // namespace
+
+KnowledgeTask::KnowledgeTask(caf::actor_config &config)
+    : caf::event_based_actor(config)
+{
+    m_revisions.startedAt = currentTime();
+}
+
+caf::behavior KnowledgeTask::make_behavior()
+{
+    return {
+        [this](const SubscribeToKnowledge &subscription) {
+            m_subscribers.push_back(subscription.subscriber);
+            if (m_configuration)
+                send(subscription.subscriber, *m_configuration);
+            if (m_machines)
+                send(subscription.subscriber, *m_machines);
+        },
+        [this](const OfferConfiguration &offer) { considerConfiguration(offer); },
+        [this](const OfferVmList &offer) { considerVmList(offer); },
+        [this](const PeerHasRevision &peer) {
+            notePeerRevision(m_revisions, peer.revision);
+            reconsiderDeferred();
+        },
+        [this](Tick) { reconsiderDeferred(); },
+    };
+}
+
+void KnowledgeTask::considerConfiguration(const OfferConfiguration &offer)
+{
+    const auto outcome = decideRevision(m_revisions, offer.text, offer.source, currentTime());
+    if (outcome.has_error()) {
+        EventLog("configuration_refused", LogLevel::Warning)
+            .with("revision", offer.text.revision)
+            .with("source", sourceName(offer.source))
+            .with(outcome.error());
+        return;
+    }
+    if (outcome.value() == RevisionOutcome::AlreadyInForce)
+        return;
+    if (outcome.value() == RevisionOutcome::Deferred) {
+        if (!m_deferred || m_deferred->text.revision <= offer.text.revision)
+            m_deferred = offer;
+        return;
+    }
+    auto parsed = parseConfiguration(offer.text.revision, offer.text.text);
+    if (parsed.has_error()) {
+        EventLog("configuration_invalid", LogLevel::Error)
+            .with("revision", offer.text.revision)
+            .with("source", sourceName(offer.source))
+            .with(parsed.error());
+        return;
+    }
+    acceptConfiguration(offer, std::move(parsed.value()));
+}
+
+void KnowledgeTask::acceptConfiguration(const OfferConfiguration &offer, Configuration configuration)
+{
+    m_revisions.inForce = offer.text;
+    m_configuration = ConfigurationInForce {std::make_shared<const Configuration>(std::move(configuration)),
+                                            std::make_shared<const RevisionedText>(offer.text)};
+    EventLog("configuration_in_force").with("revision", offer.text.revision).with("source", sourceName(offer.source));
+    for (const auto &subscriber : m_subscribers)
+        send(subscriber, *m_configuration);
+}
+
+void KnowledgeTask::considerVmList(const OfferVmList &offer)
+{
+    auto parsed = parseVmList(offer.text);
+    if (parsed.has_error()) {
+        EventLog("vm_list_invalid", LogLevel::Error).with("source", sourceName(offer.source)).with(parsed.error());
+        return;
+    }
+    if (m_machines && parsed.value().version <= m_machines->list->version)
+        return;
+    EventLog("vm_list_in_force").with("version", parsed.value().version).with("source", sourceName(offer.source));
+    m_machines = VmListInForce {std::make_shared<const VmList>(std::move(parsed.value())), std::make_shared<const std::string>(offer.text)};
+    for (const auto &subscriber : m_subscribers)
+        send(subscriber, *m_machines);
+}
+
+void KnowledgeTask::reconsiderDeferred()
+{
+    if (!m_deferred)
+        return;
+    const auto offer = std::move(*m_deferred);
+    m_deferred.reset();
+    considerConfiguration(offer);
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/OperatorsTask.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "LibTransport/DaemonMessages.h"
+
+namespace Papaya {
+
+/// Serves operators over HTTP: /healthz, /readyz, /metrics, /status and /explain?flow=FIVE-TUPLE. Everything is read-only.
+class OperatorsTask : public caf::blocking_actor
+{
+public:
+    OperatorsTask(caf::actor_config &config, Endpoint address, caf::actor mainTask);
+
+    void act() override;
+
+private:
+    Endpoint m_address;
+    caf::actor m_mainTask;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/PeerTask.cpp
@@ -0,0 +1,179 @@
+#include "LibTransport/PeerTask.h"
+
+#include "LibCoordination/PeerSelection.h"
+#include "LibState/FlowKey.h"
+#include "LibTransport/EventLog.h"
+#include "LibTransport/MonotonicClock.h"
+
+#include <algorithm>
+
+namespace Papaya {
+
+namespace {
+
+constexpr std::uint64_t ListenerToken = 0;
+constexpr Duration PollTime {50};
+constexpr Duration ReconnectInterval {1'000};
+constexpr Duration DigestInterval {2'000};
+/// Connections that are kept at once, in and out; more are refused.
+constexpr std::size_t PeerLimit = 128;
+
+} // namespace
+
+PeerTask::PeerTask(caf::actor_config &config, VirtualMachine self, std::vector<Endpoint> seeds, caf::actor knowledge)
+    : caf::blocking_actor(config)
+    , m_self(std::move(self))
+    , m_wanted(std::move(seeds))
+    , m_knowledge(std::move(knowledge))
+{
+}
+
+void PeerTask::act()
+{
+    auto listener = listenStream(m_self.daemon);
+    if (listener.has_error()) {
+        EventLog("peer_listen_failed", LogLevel::Error).with(listener.error());
+        return;
+    }
+    m_listener = std::move(listener.value());
+    m_poll.addReader(m_listener.get(), ListenerToken);
+    send(m_knowledge, SubscribeToKnowledge {this});
+    while (!m_isStopped) {
+        m_poll.wait(PollTime, [&](std::uint64_t token) { token == ListenerToken ? acceptPeers() : pumpPeer(token); });
+        drainMailbox();
+        const auto now = currentTime();
+        if (now - m_connectedAt >= ReconnectInterval) {
+            m_connectedAt = now;
+            connectPeers();
+        }
+        if (now - m_digestAt >= DigestInterval)
+            announceToAll();
+    }
+}
+
+void PeerTask::drainMailbox()
+{
+    while (!mailbox().empty()) {
+        receive(
+            [&](const ConfigurationInForce &inForce) {
+                m_configuration = inForce;
+                announceToAll();
+            },
+            [&](const VmListInForce &inForce) {
+                m_machines = inForce;
+                m_wanted.clear();
+                for (const auto &machine : selectPeers(inForce.list->machines, m_self, PeerLimits {}))
+                    m_wanted.push_back(machine.daemon);
+                announceToAll();
+            },
+            [&](Stop) { m_isStopped = true; });
+    }
+}
+
+void PeerTask::acceptPeers()
+{
+    while (auto stream = acceptStream(m_listener))
+        addPeer(std::move(*stream), std::nullopt);
+}
+
+void PeerTask::connectPeers()
+{
+    for (const auto &address : m_wanted) {
+        const bool isKnown = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &peer) { return peer.second->address == address; });
+        if (isKnown || address == m_self.daemon)
+            continue;
+        auto stream = connectStream(address);
+        if (stream.has_value())
+            addPeer(std::move(stream.value()), address);
+    }
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const auto &address = entry.second->address;
+        return address && std::find(m_wanted.begin(), m_wanted.end(), *address) == m_wanted.end();
+    });
+}
+
+void PeerTask::addPeer(FileDescriptor stream, std::optional<Endpoint> address)
+{
+    if (m_peers.size() >= PeerLimit) {
+        EventLog("peer_refused", LogLevel::Warning).with("reason", "peer_limit");
+        return;
+    }
+    const auto token = m_nextToken++;
+    auto peer = std::make_unique<Peer>(Peer {FrameChannel(std::move(stream)), address});
+    m_poll.addStream(peer->channel.descriptor(), token);
+    sendDigest(*peer);
+    m_peers.emplace(token, std::move(peer));
+}
+
+void PeerTask::pumpPeer(std::uint64_t token)
+{
+    const auto found = m_peers.find(token);
+    if (found == m_peers.end())
+        return;
+    auto &peer = *found->second;
+    const auto result = peer.channel.pump([&](std::span<const std::byte> frame) { return handleFrame(peer, frame); });
+    if (result.has_value())
+        return;
+    if (peer.hasBeenHeard || result.error().kind == FailureKind::FrameTooLarge || result.error().kind == FailureKind::MalformedFrame)
+        EventLog("peer_closed", LogLevel::Warning).with("address", peer.address ? toString(*peer.address) : "inbound").with(result.error());
+    m_peers.erase(found);
+}
+
+bool PeerTask::handleFrame(Peer &peer, std::span<const std::byte> frame)
+{
+    auto message = decodePeerFrame(frame);
+    if (message.has_error())
+        return false;
+    peer.hasBeenHeard = true;
+    if (const auto *digest = std::get_if<Digest>(&message.value()))
+        handleDigest(peer, *digest);
+    else if (const auto *text = std::get_if<RevisionedText>(&message.value()))
+        send(m_knowledge, OfferConfiguration {*text, RevisionSource::Peer});
+    else if (const auto *machines = std::get_if<VmListText>(&message.value()))
+        send(m_knowledge, OfferVmList {machines->text, RevisionSource::Peer});
+    return true;
+}
+
+void PeerTask::handleDigest(Peer &peer, const Digest &digest)
+{
+    send(m_knowledge, PeerHasRevision {digest.configurationRevision});
+    const auto own = ownDigest();
+    if (own.configurationRevision > digest.configurationRevision)
+        peer.channel.send(encodePeerFrame(*m_configuration->text));
+    if (own.vmListVersion > digest.vmListVersion)
+        peer.channel.send(encodePeerFrame(VmListText {*m_machines->text}));
+    const bool isConflict = own.configurationRevision == digest.configurationRevision && own.configurationHash != digest.configurationHash;
+    if (isConflict)
+        EventLog("configuration_conflict", LogLevel::Error).with("revision", own.configurationRevision);
+}
+
+void PeerTask::sendDigest(Peer &peer)
+{
+    peer.channel.send(encodePeerFrame(ownDigest()));
+}
+
+void PeerTask::announceToAll()
+{
+    m_digestAt = currentTime();
+    std::vector<std::uint64_t> tokens;
+    for (const auto &[token, peer] : m_peers) {
+        sendDigest(*peer);
+        tokens.push_back(token);
+    }
+    for (const auto token : tokens)
+        pumpPeer(token);
+}
+
+Digest PeerTask::ownDigest() const
+{
+    Digest digest;
+    if (m_configuration) {
+        digest.configurationRevision = m_configuration->text->revision;
+        digest.configurationHash = hashOf(m_configuration->text->text);
+    }
+    if (m_machines)
+        digest.vmListVersion = m_machines->list->version;
+    return digest;
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/PeerTask.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "LibProtocol/PeerFrameCodec.h"
+#include "LibTransport/DaemonMessages.h"
+#include "LibTransport/EventPoll.h"
+#include "LibTransport/FrameChannel.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace Papaya {
+
+/// Passes configuration texts and VM lists between daemons: each tells a few peers what it has in force, and sends its own
+/// to a peer that is behind. A change so arrives where the platform cannot be reached.
+class PeerTask : public caf::blocking_actor
+{
+public:
+    PeerTask(caf::actor_config &config, VirtualMachine self, std::vector<Endpoint> seeds, caf::actor knowledge);
+
+    void act() override;
+
+private:
+    struct Peer {
+        FrameChannel channel;
+        /// Where this daemon connected to; nothing for a peer that connected here.
+        std::optional<Endpoint> address;
+        bool hasBeenHeard = false;
+    };
+
+    void drainMailbox();
+    void acceptPeers();
+    void connectPeers();
+    void addPeer(FileDescriptor stream, std::optional<Endpoint> address);
+    void pumpPeer(std::uint64_t token);
+    [[nodiscard]] bool handleFrame(Peer &peer, std::span<const std::byte> frame);
+    void handleDigest(Peer &peer, const Digest &digest);
+    void sendDigest(Peer &peer);
+    void announceToAll();
+    [[nodiscard]] Digest ownDigest() const;
+
+    VirtualMachine m_self;
+    std::vector<Endpoint> m_wanted;
+    caf::actor m_knowledge;
+    EventPoll m_poll;
+    FileDescriptor m_listener;
+    std::map<std::uint64_t, std::unique_ptr<Peer>> m_peers;
+    std::uint64_t m_nextToken = 1;
+    std::optional<ConfigurationInForce> m_configuration;
+    std::optional<VmListInForce> m_machines;
+    TimePoint m_connectedAt;
+    TimePoint m_digestAt;
+    bool m_isStopped = false;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/PlatformTask.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "LibTransport/DaemonMessages.h"
+
+#include <optional>
+
+namespace Papaya {
+
+/// Which value of the platform's service a task watches.
+enum class PlatformValue {
+    Configuration,
+    VmList,
+};
+
+/// Watches one value of the platform's service by HTTP long poll and offers what it reads to the knowledge task. Nothing is
+/// ever written to the platform.
+class PlatformTask : public caf::blocking_actor
+{
+public:
+    PlatformTask(caf::actor_config &config, PlatformValue value, Endpoint platform, std::string self, caf::actor knowledge);
+
+    void act() override;
+
+private:
+    /// Reads once. Returns how long to pause before the next read.
+    [[nodiscard]] Duration poll();
+    void offer(std::uint64_t version, const std::string &body);
+    /// Handles messages for a while: pauses between reads, and waits while others read for this daemon.
+    void handleMessages(Duration duration);
+
+    PlatformValue m_value;
+    Endpoint m_platform;
+    std::string m_self;
+    caf::actor m_knowledge;
+    std::uint64_t m_version = 0;
+    bool m_isReader = true;
+    bool m_isStopped = false;
+    bool m_wasReachable = true;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/StreamBridge.cpp
@@ -0,0 +1,102 @@
+#include "LibTransport/StreamBridge.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Papaya {
+
+namespace {
+
+constexpr std::size_t ReadChunk = 16 * 1024;
+
+} // namespace
+
+StreamBridge::StreamBridge(std::unique_ptr<LwipConnection> connection, FileDescriptor stream)
+    : m_connection(std::move(connection))
+    , m_stream(std::move(stream))
+{
+}
+
+BridgeState StreamBridge::pump()
+{
+    if (m_connection->isBroken() || !advanceConnect())
+        return breakBoth();
+    if (!m_isStreamConnected || !m_connection->isConnected())
+        return BridgeState::Open;
+    if (!pumpToStream() || !pumpToConnection())
+        return breakBoth();
+    if (!m_hasShutStream || !m_hasShutConnection)
+        return BridgeState::Open;
+    m_connection->close();
+    m_stream.reset();
+    return BridgeState::Done;
+}
+
+bool StreamBridge::advanceConnect()
+{
+    if (m_isStreamConnected)
+        return true;
+    const auto progress = connectProgress(m_stream);
+    m_isStreamConnected = progress == ConnectProgress::Connected;
+    return progress != ConnectProgress::Failed;
+}
+
+bool StreamBridge::pumpToStream()
+{
+    while (!m_connection->peek().empty()) {
+        const auto transfer = writeStream(m_stream, m_connection->peek());
+        if (transfer.state == StreamState::Broken)
+            return false;
+        if (transfer.state != StreamState::Moved)
+            return true;
+        m_connection->consume(transfer.size);
+    }
+    if (m_connection->hasRemoteEnded() && !m_hasShutStream) {
+        shutdownStreamWrite(m_stream);
+        m_hasShutStream = true;
+    }
+    return true;
+}
+
+bool StreamBridge::pumpToConnection()
+{
+    std::array<std::byte, ReadChunk> buffer;
+    while (flushPending() && !m_hasStreamEnded) {
+        const auto room = std::min(m_connection->writableSize(), buffer.size());
+        if (room == 0)
+            break;
+        const auto transfer = readStream(m_stream, std::span(buffer).first(room));
+        if (transfer.state == StreamState::Broken)
+            return false;
+        if (transfer.state == StreamState::Blocked)
+            break;
+        if (transfer.state == StreamState::Ended)
+            m_hasStreamEnded = true;
+        else
+            m_pending.assign(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(transfer.size));
+    }
+    if (m_hasStreamEnded && m_pending.empty() && !m_hasShutConnection) {
+        m_connection->shutdownWrite();
+        m_hasShutConnection = true;
+    }
+    m_connection->flush();
+    return true;
+}
+
+bool StreamBridge::flushPending()
+{
+    if (m_pending.empty())
+        return true;
+    const auto written = m_connection->write(m_pending);
+    m_pending.erase(m_pending.begin(), m_pending.begin() + static_cast<std::ptrdiff_t>(written));
+    return m_pending.empty();
+}
+
+BridgeState StreamBridge::breakBoth()
+{
+    m_connection->abort();
+    resetStream(m_stream);
+    return BridgeState::Broken;
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Libraries/LibTransport/StreamBridge.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "LibTransport/LwipConnection.h"
+#include "LibTransport/StreamSocket.h"
+
+#include <memory>
+#include <vector>
+
+namespace Papaya {
+
+/// How a bridge stands after it was pumped.
+enum class BridgeState {
+    Open,
+    /// Both directions ended in order.
+    Done,
+    /// One side broke; the other was reset.
+    Broken,
+};
+
+/// Carries the bytes of one connection between the stack and a kernel socket, with back-pressure and half-closes.
+class StreamBridge
+{
+public:
+    StreamBridge(std::unique_ptr<LwipConnection> connection, FileDescriptor stream);
+
+    /// Moves what can be moved, under LwipLock. Once it returned something other than Open, the bridge is over.
+    BridgeState pump();
+
+    [[nodiscard]] LwipConnection &connection() { return *m_connection; }
+    [[nodiscard]] int descriptor() const { return m_stream.get(); }
+
+private:
+    /// Whether the kernel side can still be used.
+    [[nodiscard]] bool advanceConnect();
+    [[nodiscard]] bool pumpToStream();
+    [[nodiscard]] bool pumpToConnection();
+    /// Hands what was read from the stream to the connection. Returns whether nothing is left over.
+    bool flushPending();
+    BridgeState breakBoth();
+
+    std::unique_ptr<LwipConnection> m_connection;
+    FileDescriptor m_stream;
+    std::vector<std::byte> m_pending;
+    bool m_isStreamConnected = false;
+    bool m_hasStreamEnded = false;
+    bool m_hasShutConnection = false;
+    bool m_hasShutStream = false;
+};
+
+} // namespace Papaya
--- /dev/null
+++ b/Services/TargetAgent/FlowTask.cpp
@@ -0,0 +1,482 @@
+#include "FlowTask.h"
+
+#include "LibCoordination/PeerSelection.h"
+#include "LibCoordination/RendezvousHash.h"
+#include "LibProtocol/DatagramCodec.h"
+#include "LibProtocol/IpPacket.h"
+#include "LibTransport/LwipConnection.h"
+#include "LibTransport/MonotonicClock.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Papaya {
+
+namespace {
+
+constexpr std::uint64_t DaemonToken = 1;
+constexpr std::uint64_t TargetCheckToken = 2;
+constexpr std::uint64_t FirstFlowToken = 16;
+/// Tokens of streams to the target that carry single requests.
+constexpr std::uint64_t CallTokenBit = 1ULL << 63U;
+
+constexpr Duration PollTime {20};
+constexpr Duration HeartbeatInterval {500};
+constexpr Duration TargetCheckInterval {1'000};
+constexpr Duration TargetCheckTimeout {2'000};
+constexpr int PacketLinesPerSecond = 5;
+constexpr int PlacementLinesPerSecond = 200;
+
+/// Reasons that hold for each packet of a flow; the others decide about a whole flow.
+bool isPerPacket(PlacementReason reason)
+{
+    switch (reason) {
+    case PlacementReason::Owned:
+    case PlacementReason::DirectoryOwner:
+    case PlacementReason::LocateHeld:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+FlowTask::FlowTask(caf::actor_config &config, DaemonSettings settings, DatagramSocket daemon, Incarnation incarnation, caf::actor program)
+    : caf::blocking_actor(config)
+    , m_settings(std::move(settings))
+    , m_daemon(std::move(daemon))
+    , m_program(std::move(program))
+    , m_packetLines(PacketLinesPerSecond)
+    , m_placementLines(PlacementLinesPerSecond)
+    , m_nextToken(FirstFlowToken)
+{
+    m_flows.self = hashOf(m_settings.name);
+    m_flows.selfDaemon = m_settings.daemon;
+    m_flows.incarnation = incarnation;
+    m_flows.load.isTargetDown = true;
+    m_engine = std::make_unique<RequestEngine>(
+        m_poll, CallTokenBit, m_settings.target, m_metrics, [this](const FlowKey &flow) { onFinished(m_flows, flow, currentTime()); });
+}
+
+void FlowTask::act()
+{
+    startStack();
+    m_poll.addReader(m_daemon.descriptor(), DaemonToken);
+    while (!m_isStopped) {
+        m_poll.wait(PollTime, [&](std::uint64_t token) {
+            const LwipLock lock;
+            if (token == DaemonToken)
+                m_daemon.receive([&](std::span<const std::byte> datagram, const Endpoint &) { onDatagram(datagram); });
+            else
+                onStreamEvent(token);
+        });
+        const LwipLock lock;
+        processStack();
+        drainMailbox();
+    }
+    send(m_program, Stopped {});
+}
+
+void FlowTask::startStack()
+{
+    m_stack = &LwipStack::start([this](std::span<const std::byte> packet) {
+        const auto segment = parsePacket(packet, PacketDirection::ToCaller);
+        if (segment.has_value() && segment.value().isSyn)
+            onHandshakeSent(m_flows, segment.value().flow, segment.value().sequence);
+        m_daemon.send(m_settings.fabric, packet);
+    });
+}
+
+void FlowTask::drainMailbox()
+{
+    while (!mailbox().empty()) {
+        receive([&](Tick) { onTick(); },
+                [&](const ConfigurationInForce &inForce) { takeConfiguration(inForce.configuration); },
+                [&](const VmListInForce &inForce) { takeMachines(*inForce.list); },
+                [&](AskStatus) { return report(); },
+                [&](const AskExplain &question) { return explain(question.flow); },
+                [&](Stop) { m_isStopping = true; });
+    }
+}
+
+void FlowTask::takeConfiguration(const std::shared_ptr<const Configuration> &configuration)
+{
+    m_configuration = configuration;
+    m_flows.revision = configuration->revision;
+    applyService();
+}
+
+void FlowTask::takeMachines(const VmList &machines)
+{
+    if (!applyVmList(m_members, machines, currentTime()))
+        return;
+    applyService();
+}
+
+/// Finds the service that this target serves: its group is in the VM list, the group's service in the configuration.
+void FlowTask::applyService()
+{
+    const auto &machines = m_members.machines.machines;
+    const auto own =
+        std::find_if(machines.begin(), machines.end(), [&](const VirtualMachine &machine) { return machine.name == m_settings.name; });
+    if (own == machines.end() || !m_configuration)
+        return;
+    m_observers = selectHeartbeatObservers(machines, *own, PeerLimits {});
+    const auto *service = serviceOfGroup(*m_configuration, own->group);
+    if (service == nullptr) {
+        // The flows that are open stay; new ones are refused, since no address is served any more.
+        m_flows.serviceAddresses.clear();
+        return;
+    }
+    m_service = *service;
+    m_flows.service = hashOf(service->name);
+    m_flows.serviceAddresses = service->addresses;
+    m_engine->configure(*service);
+    for (const auto &address : service->addresses) {
+        if (std::find(m_listening.begin(), m_listening.end(), address) != m_listening.end())
+            continue;
+        const auto added = m_stack->addAddress(address.address);
+        const auto listening = added.has_value() ? m_stack->listen(address) : added;
+        if (listening.has_error())
+            EventLog("listen_failed", LogLevel::Error).with("address", toString(address)).with(listening.error());
+        else
+            m_listening.push_back(address);
+    }
+    updateMembers(currentTime());
+}
+
+void FlowTask::onDatagram(std::span<const std::byte> datagram)
+{
+    auto message = decodeDatagram(datagram);
+    if (message.has_error()) {
+        m_metrics.count("datagrams_dropped", failureKindName(message.error().kind));
+        return;
+    }
+    const auto now = currentTime();
+    auto &value = message.value();
+    if (const auto *envelope = std::get_if<Envelope>(&value)) {
+        onPacketEnvelope(*envelope);
+    } else if (const auto *query = std::get_if<LocateQuery>(&value)) {
+        carryOut(onLocateQuery(m_flows, *query, now));
+    } else if (const auto *reply = std::get_if<LocateReply>(&value)) {
+        carryOut(onLocateReply(m_flows, *reply, now));
+    } else if (const auto *announce = std::get_if<Announce>(&value)) {
+        onAnnounce(m_flows, *announce, now);
+    } else if (const auto *release = std::get_if<Release>(&value)) {
+        onRelease(m_flows, *release);
+    } else if (const auto *heartbeat = std::get_if<Heartbeat>(&value)) {
+        const auto effect = applyHeartbeat(m_members, *heartbeat, now);
+        if (effect.isNew || effect.hasRestarted || effect.hasChangedLeaving)
+            updateMembers(now);
+    }
+}
+
+void FlowTask::onPacketEnvelope(const Envelope &envelope)
+{
+    const auto segment = parsePacket(envelope.packet, PacketDirection::FromCaller);
+    if (segment.has_error()) {
+        m_metrics.count("packets_dropped", segment.error().subject);
+        return;
+    }
+    carryOut(onEnvelope(m_flows, envelope, segment.value(), currentTime()));
+}
+
+void FlowTask::carryOut(const Effects &effects)
+{
+    for (const auto &effect : effects)
+        std::visit([this](const auto &alternative) { carryOut(alternative); }, effect);
+}
+
+void FlowTask::carryOut(const SendMessage &effect)
+{
+    m_daemon.send(effect.to, encodeDatagram(effect.message));
+}
+
+void FlowTask::carryOut(const DeliverPacket &effect)
+{
+    m_stack->input(effect.packet);
+}
+
+void FlowTask::carryOut(const SendReset &effect)
+{
+    const auto reset = makeReset(effect.packet);
+    if (reset.has_value())
+        m_daemon.send(m_settings.fabric, reset.value());
+}
+
+void FlowTask::carryOut(const SendProbe &effect)
+{
+    m_daemon.send(m_settings.fabric, makeProbe(effect.flow, effect.sequence));
+}
+
+void FlowTask::carryOut(const ForgetFlow &effect)
+{
+    m_stack->forget(effect.flow);
+}
+
+void FlowTask::carryOut(const NoteDecision &effect)
+{
+    m_metrics.count("placement", placementReasonName(effect.reason));
+    auto &budget = isPerPacket(effect.reason) ? m_packetLines : m_placementLines;
+    if (!budget.take(currentTime()))
+        return;
+    const auto target =
+        std::find_if(m_flows.members.begin(), m_flows.members.end(), [&](const Member &member) { return member.id == effect.target; });
+    EventLog("flow_placement")
+        .with("flow", toString(effect.flow))
+        .with("reason", placementReasonName(effect.reason))
+        .with("service", m_service ? m_service->name : "-")
+        .with("target", target == m_flows.members.end() ? "-" : target->name)
+        .with("revision", m_flows.revision);
+}
+
+void FlowTask::processStack()
+{
+    for (auto &connection : m_stack->takeAccepted())
+        startFlow(std::move(connection));
+    for (const auto token : m_stack->takeReady())
+        processReady(token);
+}
+
+void FlowTask::processReady(std::uint64_t token)
+{
+    if (m_engine->hasFlow(token))
+        m_engine->onFlowReady(token, currentTime());
+    else
+        pumpBridge(token);
+}
+
+void FlowTask::startFlow(std::unique_ptr<LwipConnection> connection)
+{
+    const auto flow = connection->flow();
+    const auto token = m_nextToken++;
+    onEstablished(m_flows, flow, currentTime());
+    if (m_service && m_service->protocol == ServiceProtocol::Http) {
+        m_engine->addFlow(token, std::move(connection), currentTime());
+        return;
+    }
+    auto stream = connectStream(m_settings.target);
+    if (stream.has_error()) {
+        connection->abort();
+        onAborted(m_flows, flow);
+        EventLog("target_connect_failed", LogLevel::Warning).with("flow", toString(flow)).with(stream.error());
+        return;
+    }
+    connection->setToken(token);
+    auto bridge = std::make_unique<StreamBridge>(std::move(connection), std::move(stream.value()));
+    m_poll.addStream(bridge->descriptor(), token);
+    m_bridges.emplace(token, std::move(bridge));
+    pumpBridge(token);
+}
+
+void FlowTask::pumpBridge(std::uint64_t token)
+{
+    const auto found = m_bridges.find(token);
+    if (found == m_bridges.end())
+        return;
+    auto &bridge = *found->second;
+    const auto state = bridge.pump();
+    if (state == BridgeState::Open)
+        return;
+    const auto flow = bridge.connection().flow();
+    if (state == BridgeState::Done) {
+        onFinished(m_flows, flow, currentTime());
+    } else {
+        m_metrics.count("flows_broken");
+        EventLog("flow_broken", LogLevel::Warning).with("flow", toString(flow)).with("service", m_service ? m_service->name : "-");
+        onAborted(m_flows, flow);
+    }
+    m_bridges.erase(found);
+}
+
+void FlowTask::onStreamEvent(std::uint64_t token)
+{
+    if (token == TargetCheckToken) {
+        const auto progress = connectProgress(m_targetCheck);
+        if (progress != ConnectProgress::Pending)
+            concludeTargetCheck(progress == ConnectProgress::Connected);
+        return;
+    }
+    if ((token & CallTokenBit) != 0)
+        m_engine->onCallReady(token, currentTime());
+    else
+        pumpBridge(token);
+}
+
+void FlowTask::onTick()
+{
+    const auto now = currentTime();
+    if (tick(m_members, now)) {
+        EventLog("pause_detected", LogLevel::Warning);
+        // What was asked before the pause is too old to conclude anything from.
+        m_flows.locates.clear();
+    }
+    updateMembers(now);
+    checkTarget(now);
+    updateLoad();
+    m_engine->setLeaving(isLeaving());
+    m_engine->onTick(now);
+    carryOut(Papaya::onTick(m_flows, now));
+    if (now - m_heartbeatAt >= HeartbeatInterval) {
+        m_heartbeatAt = now;
+        sendHeartbeats();
+    }
+    if (const auto suppressed = m_packetLines.takeSuppressed() + m_placementLines.takeSuppressed();
+        suppressed > 0 && m_packetLines.take(now))
+        EventLog("packet_lines_suppressed").with("count", suppressed);
+    if (m_isStopping && hasNothingLeft())
+        m_isStopped = true;
+}
+
+void FlowTask::updateMembers(TimePoint now)
+{
+    if (!m_service)
+        return;
+    auto members = membersOfGroup(m_members, m_service->targetGroup, now);
+    for (auto &member : members) {
+        if (member.id != m_flows.self)
+            continue;
+        member.health = MemberHealth::Alive;
+        member.isLeaving = isLeaving();
+        member.incarnation = m_flows.incarnation;
+    }
+    setMembers(m_flows, std::move(members));
+}
+
+void FlowTask::updateLoad()
+{
+    auto &load = m_flows.load;
+    load.isLeaving = isLeaving();
+    load.report.connections = static_cast<std::uint32_t>(connectionCount());
+    load.report.connectionLimit = m_service ? static_cast<std::uint32_t>(m_service->connectionLimit) : 0;
+    load.report.expectedWait = static_cast<std::uint32_t>(std::lround(expectedWait(m_engine->queue())));
+}
+
+void FlowTask::sendHeartbeats()
+{
+    Heartbeat heartbeat;
+    heartbeat.sender = m_flows.self;
+    heartbeat.daemon = m_settings.daemon;
+    heartbeat.incarnation = m_flows.incarnation;
+    // A target that is down takes no new flows, which to the others is the same as leaving.
+    heartbeat.isLeaving = isLeaving() || m_flows.load.isTargetDown;
+    heartbeat.revision = m_flows.revision;
+    heartbeat.load = m_flows.load.report;
+    const auto datagram = encodeDatagram(heartbeat);
+    for (const auto &observer : m_observers)
+        m_daemon.send(observer.daemon, datagram);
+}
+
+/// Connects to the target now and then: its own health endpoint may mislead, a refused connection does not.
+void FlowTask::checkTarget(TimePoint now)
+{
+    if (m_targetCheck.isOpen()) {
+        if (now - m_targetCheckedAt >= TargetCheckTimeout)
+            concludeTargetCheck(false);
+        return;
+    }
+    if (now - m_targetCheckedAt < TargetCheckInterval)
+        return;
+    m_targetCheckedAt = now;
+    auto stream = connectStream(m_settings.target);
+    if (stream.has_error()) {
+        concludeTargetCheck(false);
+        return;
+    }
+    m_targetCheck = std::move(stream.value());
+    m_poll.addStream(m_targetCheck.get(), TargetCheckToken);
+}
+
+void FlowTask::concludeTargetCheck(bool isUp)
+{
+    m_targetCheck.reset();
+    if (isUp != m_isTargetKnownUp)
+        EventLog(isUp ? "target_up" : "target_down", isUp ? LogLevel::Info : LogLevel::Warning).with("target", toString(m_settings.target));
+    m_isTargetKnownUp = isUp;
+    m_flows.load.isTargetDown = !isUp;
+    m_engine->setTargetDown(!isUp);
+}
+
+bool FlowTask::isLeaving() const
+{
+    if (m_isStopping)
+        return true;
+    const auto &machines = m_members.machines.machines;
+    return std::any_of(machines.begin(), machines.end(), [&](const VirtualMachine &machine) {
+        return machine.name == m_settings.name && machine.state == VmState::Leaving;
+    });
+}
+
+bool FlowTask::hasNothingLeft() const
+{
+    return connectionCount() == 0 && m_engine->isIdle();
+}
+
+std::size_t FlowTask::connectionCount() const
+{
+    return m_bridges.size() + m_engine->flowCount();
+}
+
+StatusReport FlowTask::report()
+{
+    nlohmann::json status;
+    status["name"] = m_settings.name;
+    status["role"] = "target";
+    status["revision"] = m_flows.revision;
+    status["vm_list_version"] = m_members.machines.version;
+    status["service"] = m_service ? m_service->name : "";
+    status["leaving"] = isLeaving();
+    status["target_up"] = m_isTargetKnownUp;
+    status["flows_owned"] = m_flows.owned.size();
+    status["connections"] = connectionCount();
+    status["directory"] = m_flows.directory.size();
+    status["slots_open"] = m_engine->queue().openSlots;
+    status["requests_running"] = m_engine->queue().running.size();
+    status["requests_waiting"] = m_engine->queue().waiting.size();
+    for (const auto &member : m_flows.members) {
+        nlohmann::json entry;
+        entry["name"] = member.name;
+        entry["eligible"] = isEligible(member);
+        entry["connections"] = member.load.connections;
+        status["members"].push_back(entry);
+    }
+    m_metrics.setGauge("configuration_revision", static_cast<double>(m_flows.revision));
+    m_metrics.setGauge("connections", static_cast<double>(connectionCount()));
+    m_metrics.setGauge("flows_owned", static_cast<double>(m_flows.owned.size()));
+    m_metrics.setGauge("flow_directory", static_cast<double>(m_flows.directory.size()));
+    m_metrics.setGauge("requests_running", static_cast<double>(m_engine->queue().running.size()));
+    m_metrics.setGauge("requests_waiting", static_cast<double>(m_engine->queue().waiting.size()));
+    m_metrics.setGauge("slots_open", m_engine->queue().openSlots);
+    StatusReport report;
+    report.isReady = m_service.has_value() && m_isTargetKnownUp && !isLeaving();
+    report.statusJson = status.dump();
+    report.metricsText = m_metrics.prometheusText();
+    return report;
+}
+
+ExplainReport FlowTask::explain(const std::string &flow) const
+{
+    nlohmann::json answer;
+    answer["flow"] = flow;
+    const auto parsed = parseFlowKey(flow);
+    if (parsed.has_error()) {
+        answer["failure"] = describe(parsed.error());
+        return {answer.dump()};
+    }
+    const auto owned = m_flows.owned.find(parsed.value());
+    const auto known = m_flows.directory.find(parsed.value());
+    answer["owned"] = owned != m_flows.owned.end();
+    answer["known_owner"] = known == m_flows.directory.end() ? 0 : known->second.owner;
+    answer["new_flow_decision"] = placementReasonName(decideNewFlow(m_flows, 0));
+    const auto witness = witnessOf(m_flows, m_flows.self, parsed.value());
+    for (const auto &member : m_flows.members) {
+        if (member.id == witness)
+            answer["witness"] = member.name;
+    }
+    return {answer.dump()};
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Services/TargetAgent/HttpFlow.cpp
@@ -0,0 +1,115 @@
+#include "HttpFlow.h"
+
+#include "HttpOutcome.h"
+
+#include <sstream>
+
+namespace Papaya {
+
+namespace {
+
+namespace Http = boost::beast::http;
+
+constexpr std::uint32_t HeaderLimit = 32 * 1024;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusPayloadTooLarge = 413;
+constexpr unsigned StatusHeaderTooLarge = 431;
+
+unsigned statusOf(const boost::beast::error_code &error)
+{
+    if (error == Http::error::body_limit)
+        return StatusPayloadTooLarge;
+    if (error == Http::error::header_limit)
+        return StatusHeaderTooLarge;
+    return StatusBadRequest;
+}
+
+} // namespace
+
+HttpFlow::HttpFlow(std::unique_ptr<LwipConnection> connection)
+    : m_connection(std::move(connection))
+{
+    resetParser();
+}
+
+HttpFlow::ReadResult HttpFlow::readRequest()
+{
+    if (hasOpenRequest() || m_closesWhenSent)
+        return ReadResult::NeedsMore;
+    while (true) {
+        const auto result = parseInbox();
+        if (result != ReadResult::NeedsMore)
+            return result;
+        const auto bytes = m_connection->peek();
+        if (bytes.empty())
+            break;
+        m_inbox.append(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+        m_connection->consume(bytes.size());
+    }
+    const bool isOver = m_connection->isBroken() || m_connection->hasRemoteEnded();
+    return isOver ? ReadResult::Ended : ReadResult::NeedsMore;
+}
+
+void HttpFlow::answer(Response response, bool closes)
+{
+    std::ostringstream text;
+    text << response;
+    m_outbox += text.str();
+    m_openRequest = 0;
+    m_closesWhenSent = m_closesWhenSent || closes;
+    resetParser();
+}
+
+bool HttpFlow::pump()
+{
+    if (m_connection->isBroken())
+        return true;
+    const auto written = m_connection->write(std::as_bytes(std::span(m_outbox)));
+    m_outbox.erase(0, written);
+    m_connection->flush();
+    if (!m_outbox.empty() || !m_closesWhenSent)
+        return false;
+    m_connection->close();
+    return true;
+}
+
+void HttpFlow::resetParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(HeaderLimit);
+    m_parser->body_limit(RequestSizeLimit);
+    m_hasAnsweredExpectation = false;
+}
+
+HttpFlow::ReadResult HttpFlow::parseInbox()
+{
+    while (!m_inbox.empty()) {
+        boost::beast::error_code error;
+        const auto used = m_parser->put(boost::asio::buffer(m_inbox), error);
+        m_inbox.erase(0, used);
+        if (error && error != Http::error::need_more) {
+            m_failureStatus = statusOf(error);
+            return ReadResult::Malformed;
+        }
+        if (m_parser->is_done()) {
+            m_request = m_parser->release();
+            return ReadResult::RequestReady;
+        }
+        if (m_parser->is_header_done())
+            answerExpectation();
+        if (error == Http::error::need_more || used == 0)
+            break;
+    }
+    return ReadResult::NeedsMore;
+}
+
+void HttpFlow::answerExpectation()
+{
+    if (m_hasAnsweredExpectation || m_parser->get()[Http::field::expect].empty())
+        return;
+    m_hasAnsweredExpectation = true;
+    m_outbox += "HTTP/1.1 100 Continue\r\n\r\n";
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Services/TargetAgent/TargetCall.cpp
@@ -0,0 +1,123 @@
+#include "TargetCall.h"
+
+#include "HttpOutcome.h"
+
+#include <array>
+
+namespace Papaya {
+
+namespace {
+
+namespace Http = boost::beast::http;
+
+constexpr std::size_t ReadChunk = 32 * 1024;
+constexpr std::uint32_t HeaderLimit = 64 * 1024;
+
+} // namespace
+
+TargetCall::TargetCall(RequestId id, FileDescriptor stream, std::string request, bool isHead)
+    : m_id(id)
+    , m_stream(std::move(stream))
+    , m_request(std::move(request))
+    , m_isHead(isHead)
+{
+    resetParser();
+}
+
+std::optional<AttemptEnd> TargetCall::pump()
+{
+    if (!m_isConnected) {
+        const auto progress = connectProgress(m_stream);
+        if (progress == ConnectProgress::Failed)
+            return AttemptEnd::NothingSent;
+        if (progress == ConnectProgress::Pending)
+            return std::nullopt;
+        m_isConnected = true;
+    }
+    if (!writeRequest())
+        return brokenEnd();
+    return readResponse();
+}
+
+void TargetCall::cancel()
+{
+    resetStream(m_stream);
+}
+
+bool TargetCall::writeRequest()
+{
+    while (m_sent < m_request.size()) {
+        const auto rest = std::as_bytes(std::span(m_request)).subspan(m_sent);
+        const auto transfer = writeStream(m_stream, rest);
+        if (transfer.state == StreamState::Broken)
+            return false;
+        if (transfer.state == StreamState::Blocked)
+            return true;
+        m_sent += transfer.size;
+    }
+    return true;
+}
+
+std::optional<AttemptEnd> TargetCall::readResponse()
+{
+    std::array<std::byte, ReadChunk> buffer;
+    while (true) {
+        const auto transfer = readStream(m_stream, buffer);
+        if (transfer.state == StreamState::Blocked)
+            return std::nullopt;
+        if (transfer.state == StreamState::Broken)
+            return brokenEnd();
+        if (transfer.state == StreamState::Ended) {
+            boost::beast::error_code error;
+            if (m_parser->got_some())
+                m_parser->put_eof(error);
+            return !error && m_parser->is_done() ? concludeResponse() : brokenEnd();
+        }
+        m_inbox.append(reinterpret_cast<const char *>(buffer.data()), transfer.size);
+        if (const auto end = parseInbox())
+            return end;
+    }
+}
+
+std::optional<AttemptEnd> TargetCall::parseInbox()
+{
+    while (!m_inbox.empty()) {
+        boost::beast::error_code error;
+        const auto used = m_parser->put(boost::asio::buffer(m_inbox), error);
+        m_inbox.erase(0, used);
+        if (error == Http::error::need_more)
+            return std::nullopt;
+        if (error)
+            return AttemptEnd::Broken;
+        if (!m_parser->is_done())
+            return used == 0 ? std::optional(AttemptEnd::Broken) : std::nullopt;
+        const bool isInterim = m_parser->get().result_int() < 200;
+        if (!isInterim)
+            return concludeResponse();
+        resetParser();
+    }
+    return std::nullopt;
+}
+
+AttemptEnd TargetCall::concludeResponse()
+{
+    m_response = m_parser->release();
+    const auto outcome = fromBeast(m_response[toBeast(OutcomeHeader)]);
+    return outcome == OutcomeNotRun ? AttemptEnd::Refused : AttemptEnd::Answered;
+}
+
+AttemptEnd TargetCall::brokenEnd() const
+{
+    return m_sent == 0 ? AttemptEnd::NothingSent : AttemptEnd::Broken;
+}
+
+void TargetCall::resetParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->skip(m_isHead);
+    m_parser->header_limit(HeaderLimit);
+    m_parser->body_limit(AnswerSizeLimit);
+}
+
+} // namespace Papaya
--- /dev/null
+++ b/Tests/Deployment/Deployment.cpp
@@ -0,0 +1,419 @@
+#include "Deployment/Deployment.h"
+
+#include "LibProtocol/VmListJson.h"
+#include "LibTransport/SocketAddress.h"
+
+#include <httplib.h>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+extern char **environ;
+
+namespace Papaya {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t Loopback = 0x7f000001;
+constexpr std::uint16_t FirstPort = 20'000;
+constexpr std::uint16_t LastPort = 32'000;
+constexpr std::uint16_t PortsPerDeployment = 100;
+constexpr std::array<const char *, 3> FailureDomains {"patan", "bhaktapur", "kirtipur"};
+constexpr auto StartLimit = 30s;
+constexpr auto PollPause = 20ms;
+
+bool isFree(const Endpoint &endpoint, int type)
+{
+    const int descriptor = ::socket(AF_INET, type, 0);
+    const auto address = toSocketAddress(endpoint);
+    const bool isBound = ::bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    ::close(descriptor);
+    return isBound;
+}
+
+httplib::Client makeClient(const Endpoint &endpoint)
+{
+    httplib::Client client("127.0.0.1", endpoint.port);
+    client.set_connection_timeout(1s);
+    client.set_read_timeout(5s);
+    return client;
+}
+
+} // namespace
+
+Deployment::Deployment(DeploymentPlan plan)
+    : m_plan(std::move(plan))
+    , m_nextPort(static_cast<std::uint16_t>(FirstPort + (::getpid() % 110) * PortsPerDeployment))
+{
+    std::string folder = (std::filesystem::temp_directory_path() / "papaya-XXXXXX").string();
+    m_folder = ::mkdtemp(folder.data());
+    m_platform = allocate();
+    m_fabricAnswers = allocate();
+    m_fabricOperator = allocate();
+    m_machines.version = 1;
+    for (int index = 1; index <= m_plan.entryDaemons; ++index)
+        planEntry("entry-" + std::to_string(index));
+    for (const auto &service : m_plan.services) {
+        m_callerAddresses[service.name] = allocate();
+        for (int index = 1; index <= service.targets; ++index)
+            planTarget(service, service.name + "-" + std::to_string(index));
+    }
+}
+
+Deployment::~Deployment()
+{
+    for (auto &[name, process] : m_processes) {
+        if (process.pid > 0)
+            ::kill(process.pid, SIGKILL);
+    }
+    for (auto &[name, process] : m_processes) {
+        if (process.pid > 0)
+            ::waitpid(process.pid, nullptr, 0);
+    }
+    std::error_code ignored;
+    if (std::getenv("PAPAYA_KEEP_LOGS") == nullptr)
+        std::filesystem::remove_all(m_folder, ignored);
+}
+
+bool Deployment::start()
+{
+    startPlatform();
+    const bool isPlatformUp = waitUntil([&] { return bool(makeClient(m_platform).Get("/reads")); }, StartLimit);
+    if (!isPlatformUp)
+        return false;
+    if (m_plan.publishesFirst) {
+        publishConfiguration(1);
+        publishMachines();
+    }
+    startFabric();
+    for (const auto &machine : m_machines.machines) {
+        if (machine.role == VmRole::Target)
+            startProcess("target-" + machine.name);
+        startProcess(machine.name);
+    }
+    return !m_plan.publishesFirst || waitUntil([&] { return areDaemonsReady(); }, StartLimit);
+}
+
+void Deployment::startProcess(const std::string &name)
+{
+    spawn(m_processes.at(name));
+}
+
+void Deployment::signalProcess(const std::string &name, int signal)
+{
+    const auto pid = m_processes.at(name).pid;
+    if (pid > 0)
+        ::kill(pid, signal);
+}
+
+bool Deployment::waitForEnd(const std::string &name, std::chrono::milliseconds limit)
+{
+    return waitUntil([&] { return !isRunning(name); }, limit);
+}
+
+void Deployment::killProcess(const std::string &name)
+{
+    signalProcess(name, SIGKILL);
+    auto &process = m_processes.at(name);
+    if (process.pid > 0)
+        ::waitpid(process.pid, nullptr, 0);
+    process.pid = -1;
+}
+
+bool Deployment::isRunning(const std::string &name)
+{
+    auto &process = m_processes.at(name);
+    if (process.pid > 0 && ::waitpid(process.pid, nullptr, WNOHANG) == process.pid)
+        process.pid = -1;
+    return process.pid > 0;
+}
+
+void Deployment::addEntry(const std::string &name)
+{
+    planEntry(name);
+    ++m_machines.version;
+    publishMachines();
+    startProcess(name);
+}
+
+void Deployment::addTarget(const TestService &service, const std::string &name)
+{
+    planTarget(service, name);
+    startProcess("target-" + name);
+    ++m_machines.version;
+    publishMachines();
+    startProcess(name);
+}
+
+void Deployment::removeMachine(const std::string &name)
+{
+    std::erase_if(m_machines.machines, [&](const VirtualMachine &machine) { return machine.name == name; });
+    ++m_machines.version;
+    publishMachines();
+}
+
+void Deployment::setMachineState(const std::string &name, VmState state)
+{
+    for (auto &machine : m_machines.machines) {
+        if (machine.name == name)
+            machine.state = state;
+    }
+    ++m_machines.version;
+    publishMachines();
+}
+
+void Deployment::publishConfiguration(std::uint64_t revision, std::optional<std::string> text)
+{
+    makeClient(m_platform).Put("/configuration?version=" + std::to_string(revision), text.value_or(configurationText()), "text/plain");
+}
+
+void Deployment::publishMachines()
+{
+    makeClient(m_platform).Put("/vms?version=" + std::to_string(m_machines.version), formatVmList(m_machines), "text/plain");
+}
+
+void Deployment::sprayOver(const std::vector<std::string> &entries)
+{
+    std::string body;
+    for (const auto &entry : entries)
+        body += (body.empty() ? "" : ",") + toString(m_fabricSockets.at(entry));
+    makeClient(m_fabricOperator).Put("/entries", body, "text/plain");
+}
+
+void Deployment::setFaults(double drop, double duplicate, double delay)
+{
+    std::ostringstream path;
+    path << "/faults?drop=" << drop << "&duplicate=" << duplicate << "&delay=" << delay;
+    makeClient(m_fabricOperator).Put(path.str(), "", "text/plain");
+}
+
+void Deployment::setPlatformDown(bool isDown)
+{
+    makeClient(m_platform).Post(isDown ? "/down" : "/up", "", "text/plain");
+}
+
+std::string Deployment::configurationText() const
+{
+    std::string text;
+    for (const auto &service : m_plan.services) {
+        text += "[service " + service.name + "]\n";
+        text += "addresses = " + toString(service.address) + "\n";
+        text += "protocol = " + service.protocol + "\n";
+        text += "target_group = " + service.name + "\n";
+        text += "slots = " + std::to_string(service.slots) + "\n";
+        text += service.extraText;
+    }
+    return text;
+}
+
+Endpoint Deployment::callerAddress(const std::string &service) const
+{
+    return m_callerAddresses.at(service);
+}
+
+std::vector<std::string> Deployment::entryNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &machine : m_machines.machines) {
+        if (machine.role == VmRole::Entry)
+            names.push_back(machine.name);
+    }
+    return names;
+}
+
+std::vector<std::string> Deployment::targetNames(const std::string &service) const
+{
+    std::vector<std::string> names;
+    for (const auto &machine : m_machines.machines) {
+        if (machine.group == service)
+            names.push_back(machine.name);
+    }
+    return names;
+}
+
+std::optional<std::string> Deployment::readOperator(const std::string &name, const std::string &path) const
+{
+    const auto response = makeClient(m_operators.at(name)).Get(path);
+    if (!response || response->status != 200)
+        return std::nullopt;
+    return response->body;
+}
+
+double Deployment::readMetric(const std::string &name, const std::string &metric) const
+{
+    const auto text = readOperator(name, "/metrics").value_or("");
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(metric + " "))
+            return std::strtod(line.c_str() + metric.size() + 1, nullptr);
+    }
+    return 0;
+}
+
+std::string Deployment::readJournals(const std::string &service) const
+{
+    std::string journals;
+    for (const auto &[name, ports] : m_targets) {
+        if (m_serviceOfTarget.at(name) != service)
+            continue;
+        if (const auto response = makeClient(ports.journal).Get("/journal"))
+            journals += response->body;
+    }
+    return journals;
+}
+
+void Deployment::postTarget(const std::string &target, const std::string &path) const
+{
+    makeClient(m_targets.at(target).journal).Post(path, "", "text/plain");
+}
+
+bool Deployment::waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(PollPause);
+    }
+    return true;
+}
+
+Endpoint Deployment::allocate()
+{
+    while (true) {
+        const Endpoint endpoint {Loopback, m_nextPort};
+        m_nextPort = m_nextPort >= LastPort ? FirstPort : static_cast<std::uint16_t>(m_nextPort + 1);
+        if (isFree(endpoint, SOCK_STREAM) && isFree(endpoint, SOCK_DGRAM))
+            return endpoint;
+    }
+}
+
+void Deployment::writeFile(const std::string &name, const std::string &text) const
+{
+    std::ofstream(m_folder + "/" + name) << text;
+}
+
+std::string Deployment::program(const std::string &name) const
+{
+    return m_plan.programs + "/" + name;
+}
+
+void Deployment::spawn(TestProcess process)
+{
+    std::vector<char *> arguments;
+    for (auto &argument : process.command)
+        arguments.push_back(argument.data());
+    arguments.push_back(nullptr);
+
+    const auto log = m_folder + "/" + process.name + ".log";
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    ::posix_spawn(&process.pid, arguments.front(), &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    const auto name = process.name;
+    m_processes[name] = std::move(process);
+}
+
+void Deployment::startPlatform()
+{
+    spawn({"platform", "platform", toString(m_platform), {program("standin-platform"), "--port=" + std::to_string(m_platform.port)}});
+}
+
+void Deployment::startFabric()
+{
+    std::string services;
+    for (const auto &service : m_plan.services)
+        services += (services.empty() ? "" : ",") + toString(service.address) + "=" + toString(m_callerAddresses.at(service.name));
+    std::string entries;
+    for (const auto &[name, address] : m_fabricSockets)
+        entries += (entries.empty() ? "" : ",") + toString(address);
+    spawn({"fabric",
+           "fabric",
+           toString(m_fabricAnswers),
+           {program("standin-fabric"),
+            "--listen=" + toString(m_fabricAnswers),
+            "--services=" + services,
+            "--entries=" + entries,
+            "--operator_port=" + std::to_string(m_fabricOperator.port),
+            "--seed=" + std::to_string(m_plan.seed)}});
+}
+
+void Deployment::planEntry(const std::string &name)
+{
+    VirtualMachine machine;
+    machine.name = name;
+    machine.role = VmRole::Entry;
+    machine.failureDomain = FailureDomains.at(m_machines.machines.size() % FailureDomains.size());
+    machine.daemon = allocate();
+    m_machines.machines.push_back(machine);
+    m_operators[name] = allocate();
+    m_fabricSockets[name] = allocate();
+    writeFile(name + ".ini",
+              "[daemon]\nname = " + name + "\nfailure_domain = " + machine.failureDomain + "\ndaemon = " + toString(machine.daemon)
+                  + "\noperators = " + toString(m_operators[name]) + "\nplatform = " + toString(m_platform)
+                  + "\nfabric_listen = " + toString(m_fabricSockets[name]) + "\n");
+    m_processes[name] = {
+        "entry", name, toString(m_operators[name]), {program("papaya-entryd"), "--settings=" + m_folder + "/" + name + ".ini"}};
+}
+
+void Deployment::planTarget(const TestService &service, const std::string &name)
+{
+    VirtualMachine machine;
+    machine.name = name;
+    machine.role = VmRole::Target;
+    machine.group = service.name;
+    machine.failureDomain = FailureDomains.at(m_machines.machines.size() % FailureDomains.size());
+    machine.daemon = allocate();
+    m_machines.machines.push_back(machine);
+    m_operators[name] = allocate();
+    m_targets[name] = {allocate(), allocate()};
+    m_serviceOfTarget[name] = service.name;
+    const auto &ports = m_targets[name];
+    writeFile(name + ".ini",
+              "[daemon]\nname = " + name + "\nfailure_domain = " + machine.failureDomain + "\ndaemon = " + toString(machine.daemon)
+                  + "\noperators = " + toString(m_operators[name]) + "\nplatform = " + toString(m_platform)
+                  + "\nfabric = " + toString(m_fabricAnswers) + "\ntarget = " + toString(ports.target) + "\n");
+    m_processes[name] = {
+        "agent", name, toString(m_operators[name]), {program("papaya-agentd"), "--settings=" + m_folder + "/" + name + ".ini"}};
+    m_processes["target-" + name] = {"target",
+                                     "target-" + name,
+                                     toString(ports.target),
+                                     {program("standin-target"),
+                                      "--protocol=" + service.protocol,
+                                      "--port=" + std::to_string(ports.target.port),
+                                      "--journal_port=" + std::to_string(ports.journal.port),
+                                      "--slots=" + std::to_string(service.slots),
+                                      "--name=" + name}};
+}
+
+bool Deployment::areDaemonsReady() const
+{
+    for (const auto &machine : m_machines.machines) {
+        if (!readOperator(machine.name, "/readyz"))
+            return false;
+    }
+    // Each entry daemon must have heard from every target before the first packet is sprayed over it.
+    for (const auto &entry : entryNames()) {
+        for (const auto &service : m_plan.services) {
+            if (readMetric(entry, "papaya_eligible_targets_" + service.name) < service.targets)
+                return false;
+        }
+    }
+    return true;
+}
+
+} // namespace Papaya
