--- a/Libraries/LibProtocol/DatagramCodec.cpp
+++ b/Libraries/LibProtocol/DatagramCodec.cpp
@@ -1,6 +1,6 @@
 #include "LibProtocol/DatagramCodec.h"
 
-#include "LibProtocol/Datagram_generated.h"
+#include "Generated/Datagram_generated.h"
 
 namespace Papaya {
 
--- a/Libraries/LibProtocol/PeerFrameCodec.cpp
+++ b/Libraries/LibProtocol/PeerFrameCodec.cpp
@@ -1,6 +1,6 @@
 #include "LibProtocol/PeerFrameCodec.h"
 
-#include "LibProtocol/PeerFrame_generated.h"
+#include "Generated/PeerFrame_generated.h"
 
 namespace Papaya {
 
--- a/Libraries/LibTransport/FrameChannel.cpp
+++ b/Libraries/LibTransport/FrameChannel.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t PrefixSize = sizeof(std::uint32_t);
-constexpr std::size_t ReadChunk = 64 * 1024;
+constexpr std::size_t ReadChunk = 64UL * 1024;
 constexpr std::size_t OutboxLimit = 4 * FrameSizeLimit;
 
 std::uint32_t readPrefix(std::span<const std::byte> bytes)
--- a/Libraries/LibTransport/LwipConnection.cpp
+++ b/Libraries/LibTransport/LwipConnection.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t WriteChunk = 32 * 1024;
+constexpr std::size_t WriteChunk = 32UL * 1024;
 
 Endpoint fromLwip(const ip_addr_t &address, std::uint16_t port)
 {
--- a/Libraries/LibTransport/StreamBridge.cpp
+++ b/Libraries/LibTransport/StreamBridge.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t ReadChunk = 16 * 1024;
+constexpr std::size_t ReadChunk = 16UL * 1024;
 
 } // namespace
 
--- /dev/null
+++ b/Tests/LibCoordination/TestRequestPolicy.cpp
@@ -0,0 +1,143 @@
+#include "LibCoordination/RequestPolicy.h"
+
+#include <gtest/gtest.h>
+
+namespace Papaya {
+
+namespace {
+
+constexpr TimePoint Start {Duration(1'000'000)};
+
+RequestTraits request(RequestId id, Duration deadline = Duration(10'000))
+{
+    RequestTraits traits;
+    traits.id = id;
+    traits.workClass = 1;
+    traits.arrivedAt = Start;
+    traits.deadline = Start + deadline;
+    return traits;
+}
+
+RequestQueue queueWith(int slots)
+{
+    RequestQueue queue;
+    queue.limits.slots = slots;
+    queue.openSlots = slots;
+    return queue;
+}
+
+} // namespace
+
+TEST(RequestPolicy, RunsNoMoreThanTheOpenSlots)
+{
+    auto queue = queueWith(2);
+    for (RequestId id = 1; id <= 5; ++id)
+        EXPECT_EQ(admit(queue, request(id), Start), Admission::Admitted);
+    EXPECT_EQ(dispatch(queue, Start).size(), 2U);
+    EXPECT_TRUE(dispatch(queue, Start).empty());
+    finish(queue, 1, AttemptEnd::Answered, Start);
+    EXPECT_EQ(dispatch(queue, Start).size(), 1U);
+}
+
+TEST(RequestPolicy, ShedsWhatCannotStartInTime)
+{
+    auto queue = queueWith(1);
+    queue.meanServiceTime = 100;
+    EXPECT_EQ(admit(queue, request(1), Start), Admission::Admitted);
+    EXPECT_EQ(dispatch(queue, Start).size(), 1U);
+    EXPECT_EQ(admit(queue, request(2, Duration(120)), Start), Admission::DeadlineUnmeetable);
+    EXPECT_EQ(admit(queue, request(3, Duration(500)), Start), Admission::Admitted);
+}
+
+TEST(RequestPolicy, ShedsWhenTheQueueIsFullOrTheTargetIsDown)
+{
+    auto queue = queueWith(1);
+    queue.limits.queueLimit = 1;
+    EXPECT_EQ(admit(queue, request(1), Start), Admission::Admitted);
+    EXPECT_EQ(dispatch(queue, Start).size(), 1U);
+    EXPECT_EQ(admit(queue, request(2), Start), Admission::Admitted);
+    EXPECT_EQ(admit(queue, request(3), Start), Admission::QueueFull);
+    queue.isTargetDown = true;
+    EXPECT_EQ(admit(queue, request(4), Start), Admission::TargetDown);
+}
+
+TEST(RequestPolicy, NeverStartsARequestWhoseDeadlinePassedDuringAPause)
+{
+    auto queue = queueWith(1);
+    EXPECT_EQ(admit(queue, request(1, Duration(500)), Start), Admission::Admitted);
+    const auto wake = Start + Duration(60'000);
+    EXPECT_TRUE(dispatch(queue, wake).empty());
+    const auto expired = takeExpired(queue, wake);
+    ASSERT_EQ(expired.size(), 1U);
+    EXPECT_EQ(expired.front().id, 1U);
+    EXPECT_EQ(expired.front().attempts, 0);
+}
+
+TEST(RequestPolicy, SendsANonIdempotentRequestAgainOnlyIfItIsKnownNotToHaveRun)
+{
+    RetryBudget budget;
+    auto traits = request(1);
+    traits.attempts = 1;
+    EXPECT_EQ(decideNextStep(AttemptEnd::Broken, traits, budget, Start), NextStep::ReportUnknown);
+    EXPECT_EQ(decideNextStep(AttemptEnd::DeadlinePassed, traits, budget, Start), NextStep::ReportUnknown);
+    EXPECT_EQ(decideNextStep(AttemptEnd::Refused, traits, budget, Start), NextStep::Retry);
+    EXPECT_EQ(decideNextStep(AttemptEnd::NothingSent, traits, budget, Start), NextStep::Retry);
+    traits.isIdempotent = true;
+    EXPECT_EQ(decideNextStep(AttemptEnd::Broken, traits, budget, Start), NextStep::Retry);
+}
+
+TEST(RequestPolicy, ReportsNotRunOnlyWhenNothingReachedTheTargetOrItRefused)
+{
+    RetryBudget empty;
+    empty.tokens = 0;
+    auto traits = request(1);
+    traits.isIdempotent = true;
+    EXPECT_EQ(decideNextStep(AttemptEnd::Refused, traits, empty, Start), NextStep::ReportNotRun);
+    EXPECT_EQ(decideNextStep(AttemptEnd::NothingSent, traits, empty, Start), NextStep::ReportNotRun);
+    EXPECT_EQ(decideNextStep(AttemptEnd::Broken, traits, empty, Start), NextStep::ReportUnknown);
+}
+
+TEST(RequestPolicy, BoundsRetriesToAFractionOfTheRequests)
+{
+    RetryBudget budget;
+    int retries = 0;
+    for (int index = 0; index < 1'000; ++index) {
+        earnRetry(budget);
+        retries += spendRetry(budget) ? 1 : 0;
+    }
+    EXPECT_LE(retries, 1'000 * budget.perRequest + budget.capacity);
+}
+
+TEST(RequestPolicy, KeepsASlotForShortWorkWhileLongWorkRuns)
+{
+    auto queue = queueWith(3);
+    queue.meanServiceTime = 10;
+    queue.serviceTimeByClass[2] = 500;
+    queue.serviceTimeByClass[1] = 10;
+    for (RequestId id = 1; id <= 4; ++id) {
+        auto traits = request(id);
+        traits.workClass = 2;
+        ASSERT_EQ(admit(queue, traits, Start), Admission::Admitted);
+    }
+    EXPECT_EQ(dispatch(queue, Start).size(), 2U);
+    EXPECT_EQ(admit(queue, request(9), Start), Admission::Admitted);
+    const auto started = dispatch(queue, Start);
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started.front().id, 9U);
+}
+
+TEST(RequestPolicy, OpensSlotsAsAColdTargetAnswersAndHalvesThemWhenItRefuses)
+{
+    auto queue = queueWith(7);
+    startCold(queue);
+    for (RequestId id = 1; id <= 8; ++id)
+        ASSERT_EQ(admit(queue, request(id), Start), Admission::Admitted);
+    ASSERT_EQ(dispatch(queue, Start).size(), 1U);
+    finish(queue, 1, AttemptEnd::Answered, Start);
+    EXPECT_EQ(queue.openSlots, 2);
+    EXPECT_EQ(dispatch(queue, Start).size(), 2U);
+    finish(queue, 2, AttemptEnd::Refused, Start);
+    EXPECT_EQ(queue.openSlots, 1);
+}
+
+} // namespace Papaya
