LibCoordination: Break cycles of handed-on flows, repeat announcements

An announcement lost in the network left the witness ignorant for 30 s, so that callers of a killed agent stayed silent.

Ruled out: dropping provisional entries on every repeated SYN, which let two agents take one flow.

Change: announcements repeat after 1 s and 5 s and then every 30 s per flow; an agent that sees a new flow come back with more hops than it handed it on with decides again, by then as the last hop. A SYN that nobody may take now is dropped rather than reset while another agent could take it: the caller repeats it.

--- a/Libraries/LibCoordination/FlowProtocol.cpp
+++ b/Libraries/LibCoordination/FlowProtocol.cpp
@@ -185,7 +185,9 @@
     }
     if (next == nullptr) {
         effects.emplace_back(NoteDecision {flow, reason, 0});
-        effects.emplace_back(SendReset {envelope.packet});
+        // While others could take the flow, a reset would be wrong: the caller repeats its SYN, and the views agree by then.
+        if (chooseNext(agent, flow, 0) == nullptr)
+            effects.emplace_back(SendReset {envelope.packet});
         return;
     }
     DirectoryEntry entry;
@@ -193,6 +195,7 @@
     entry.ownerDaemon = next->daemon;
     entry.incarnation = next->incarnation;
     entry.expiresAt = now + agent.limits.embryonicTime;
+    entry.handedOnAtHops = envelope.hops;
     if (!remember(agent, flow, entry)) {
         takeFlow(agent, envelope, flow, PlacementReason::TableFull, now, effects);
         return;
@@ -201,12 +204,20 @@
     effects.emplace_back(SendMessage {next->daemon, passOn(agent, envelope)});
 }
 
+/// Returns whether a new flow came back to an agent that had handed it on, as it can when agents see the members differently.
+bool hasComeBack(const DirectoryEntry &entry, const Envelope &envelope)
+{
+    return entry.handedOnAtHops && envelope.hops > *entry.handedOnAtHops;
+}
+
 /// Routes a packet of a flow that this agent does not own.
 void routeForeign(AgentFlows &agent, const Envelope &envelope, const SegmentSummary &segment, TimePoint now, Effects &effects)
 {
     const auto &flow = segment.flow;
     const auto entry = agent.directory.find(flow);
-    if (entry != agent.directory.end() && entry->second.owner != envelope.sender && isDirectoryEntryUsable(agent, entry->second, now)) {
+    const bool isUsable = entry != agent.directory.end() && entry->second.owner != envelope.sender && !hasComeBack(entry->second, envelope)
+        && isDirectoryEntryUsable(agent, entry->second, now);
+    if (isUsable) {
         effects.emplace_back(NoteDecision {flow, PlacementReason::DirectoryOwner, entry->second.owner});
         effects.emplace_back(SendMessage {entry->second.ownerDaemon, passOn(agent, envelope)});
         return;
@@ -264,18 +275,29 @@
     }
 }
 
+Duration pauseAfterAnnouncement(const FlowProtocolLimits &limits, std::uint32_t announcements)
+{
+    switch (announcements) {
+    case 0:
+        return limits.firstAnnounceRetry;
+    case 1:
+        return limits.secondAnnounceRetry;
+    default:
+        return limits.announceRefresh;
+    }
+}
+
 void announceOwned(AgentFlows &agent, TimePoint now, Effects &effects)
 {
-    const bool isRefresh = now - agent.refreshedAt >= agent.limits.announceRefresh;
-    if (isRefresh)
-        agent.refreshedAt = now;
     std::unordered_map<MemberId, std::vector<FlowKey>> batches;
     for (auto &[flow, record] : agent.owned) {
-        if (record.stage == FlowStage::Lingering || (record.witness != 0 && !isRefresh))
+        if (record.stage == FlowStage::Lingering || (record.witness != 0 && now < record.announceAt))
             continue;
         record.witness = witnessOf(agent, agent.self, flow);
-        if (record.witness != 0)
-            batches[record.witness].push_back(flow);
+        if (record.witness == 0)
+            continue;
+        record.announceAt = now + pauseAfterAnnouncement(agent.limits, record.announcements++);
+        batches[record.witness].push_back(flow);
     }
     for (const auto &[witness, flows] : batches) {
         const auto *member = findMember(agent, witness);
@@ -288,6 +310,13 @@
     }
 }
 
+/// Has a flow announced again from the start.
+void forgetWitness(FlowRecord &record)
+{
+    record.witness = 0;
+    record.announcements = 0;
+}
+
 void releaseEnded(AgentFlows &agent, Effects &effects)
 {
     std::unordered_map<MemberId, std::vector<FlowKey>> batches;
@@ -461,7 +490,7 @@
         effects.emplace_back(ForgetFlow {reply.flow});
         eraseOwned(agent, owned);
     }
-    const DirectoryEntry entry {reply.owner, reply.ownerDaemon, reply.incarnation, now + agent.limits.directoryLease, 0};
+    const DirectoryEntry entry {reply.owner, reply.ownerDaemon, reply.incarnation, now + agent.limits.directoryLease, 0, std::nullopt};
     (void)remember(agent, reply.flow, entry);
     effects.emplace_back(NoteDecision {reply.flow, PlacementReason::LocateFound, reply.owner});
     for (const auto &packet : pending->second.heldPackets) {
@@ -474,7 +503,7 @@
 
 void onAnnounce(AgentFlows &agent, const Announce &announce, TimePoint now)
 {
-    const DirectoryEntry entry {announce.owner, announce.ownerDaemon, announce.incarnation, now + agent.limits.directoryLease, 0};
+    const DirectoryEntry entry {announce.owner, announce.ownerDaemon, announce.incarnation, now + agent.limits.directoryLease, 0, std::nullopt};
     for (const auto &flow : announce.flows) {
         if (!agent.owned.contains(flow))
             (void)remember(agent, flow, entry);
@@ -530,7 +559,7 @@
     };
     for (auto &[flow, record] : agent.owned) {
         if (record.witness != 0 && (record.witness != witnessOf(agent, agent.self, flow) || hasRestarted(record.witness)))
-            record.witness = 0;
+            forgetWitness(record);
     }
 }
 
--- a/Libraries/LibCoordination/FlowProtocol.h
+++ b/Libraries/LibCoordination/FlowProtocol.h
@@ -29,6 +29,9 @@
     /// Twice the maximum segment lifetime that lwIP assumes (RFC 9293, section 3.4.1: MSL).
     Duration lingerTime {120'000};
     Duration locateRetry {200};
+    /// The pauses after the first announcement of a flow and after the second; later ones are a refresh apart.
+    Duration firstAnnounceRetry {1'000};
+    Duration secondAnnounceRetry {5'000};
     Duration announceRefresh {30'000};
     Duration directoryLease {90'000};
     /// A new flow is handed on when the agent's pressure exceeds the members' mean by this factor.
@@ -77,7 +80,6 @@
     std::unordered_map<FlowKey, PendingLocate> locates;
     /// Flows that ended since the last tick, with the witness that has to be told.
     std::vector<std::pair<MemberId, FlowKey>> released;
-    TimePoint refreshedAt;
 };
 
 /// Why a packet was treated the way it was.
--- a/Libraries/LibState/FlowTable.h
+++ b/Libraries/LibState/FlowTable.h
@@ -27,6 +27,9 @@
     TimePoint changedAt;
     /// The member that was last told of this flow; 0 while none was.
     MemberId witness = 0;
+    /// How often the witness was told, and when it is told next: announcements may be lost and are not acknowledged.
+    std::uint32_t announcements = 0;
+    TimePoint announceAt;
 };
 
 /// The flows that this agent owns.
@@ -41,6 +44,8 @@
     TimePoint expiresAt;
     /// Keep-alive probes sent to the caller since the owner was lost.
     int probesSent = 0;
+    /// For a new flow that this agent handed on and nobody announced yet: the hops that its envelope had when it came here.
+    std::optional<std::uint8_t> handedOnAtHops;
 };
 
 /// The flows that other agents announced to this one, or that it handed on.
--- /dev/null
+++ b/Tests/LibCoordination/FlowNetwork.cpp
@@ -0,0 +1,533 @@
+#include "LibCoordination/FlowNetwork.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace Papaya {
+
+namespace {
+
+constexpr Duration StepTime {10};
+constexpr Duration TickInterval {100};
+constexpr Duration HeartbeatInterval {500};
+constexpr Duration SynRetry {1'000};
+constexpr Duration SegmentRetry {300};
+constexpr Duration SegmentInterval {700};
+/// The brief: a target that is leaving gets no new work after a few seconds; issue 4 states 5 s.
+constexpr Duration LeavingBound {5'000};
+constexpr std::size_t EntryCount = 3;
+constexpr std::size_t SocketBufferPackets = 5'000;
+const Endpoint ServiceAddress {0x0a140001, 7'000};
+
+std::vector<std::byte> toBytes(const SegmentSummary &segment)
+{
+    std::vector<std::byte> bytes(sizeof(segment));
+    std::memcpy(bytes.data(), &segment, sizeof(segment));
+    return bytes;
+}
+
+SegmentSummary fromBytes(std::span<const std::byte> bytes)
+{
+    SegmentSummary segment;
+    std::memcpy(&segment, bytes.data(), sizeof(segment));
+    return segment;
+}
+
+} // namespace
+
+struct FlowNetwork::ToCaller {
+    enum class Kind { SynAck, Answer, Reset, Probe };
+    Kind kind = Kind::Answer;
+    FlowKey flow;
+    std::uint32_t sequence = 0;
+};
+
+struct FlowNetwork::Event {
+    TimePoint due;
+    std::uint64_t order = 0;
+    Endpoint to;
+    std::variant<FlowMessage, SegmentSummary, ToCaller, VmList> payload;
+
+    bool operator<(const Event &other) const { return std::pair(due, order) > std::pair(other.due, other.order); }
+};
+
+struct FlowNetwork::Agent {
+    std::string name;
+    Endpoint daemon;
+    AgentFlows flows;
+    MemberTable members;
+    bool isRunning = true;
+    bool isFrozen = false;
+    std::optional<TimePoint> leavingSince;
+    std::deque<FlowMessage> waiting;
+    /// The stack: our initial sequence number of each connection.
+    std::map<FlowKey, std::uint32_t> stack;
+    TimePoint tickAt;
+    TimePoint heartbeatAt;
+    TimePoint handshakesRetriedAt;
+};
+
+struct FlowNetwork::Entry {
+    Endpoint daemon;
+    MemberTable members;
+    RoutingTable table;
+    TimePoint tickAt;
+};
+
+struct FlowNetwork::Caller {
+    enum class Stage { Opening, Established, Ended };
+    FlowKey flow;
+    Stage stage = Stage::Opening;
+    bool isSilent = false;
+    std::uint32_t remoteSequence = 0;
+    TimePoint sentAt;
+    /// When the segment was first sent that has no answer yet.
+    std::optional<TimePoint> unansweredSince;
+};
+
+FlowNetwork::FlowNetwork(std::uint64_t seed, NetworkFaults faults, FlowProtocolLimits limits)
+    : m_faults(faults)
+    , m_limits(limits)
+    , m_random(seed)
+    , m_now(Duration(1'000'000))
+{
+    ServiceConfiguration service;
+    service.name = "ledger";
+    service.targetGroup = "ledger";
+    service.addresses = {ServiceAddress};
+    m_configuration.revision = 1;
+    m_configuration.services = {service};
+    for (std::size_t index = 0; index < EntryCount; ++index) {
+        m_entries.push_back(std::make_unique<Entry>());
+        m_entries.back()->daemon = {1, static_cast<std::uint16_t>(index + 1)};
+    }
+}
+
+FlowNetwork::~FlowNetwork() = default;
+
+void FlowNetwork::addAgent(const std::string &name)
+{
+    auto agent = std::make_unique<Agent>();
+    agent->name = name;
+    agent->daemon = {2, static_cast<std::uint16_t>(m_agents.size() + 1)};
+    m_agents.push_back(std::move(agent));
+    restart(name);
+    VirtualMachine machine;
+    machine.name = name;
+    machine.group = "ledger";
+    machine.daemon = m_agents.back()->daemon;
+    m_list.machines.push_back(machine);
+    publishList();
+}
+
+void FlowNetwork::leave(const std::string &name)
+{
+    for (auto &machine : m_list.machines) {
+        if (machine.name == name)
+            machine.state = VmState::Leaving;
+    }
+    agentNamed(name).leavingSince = m_now;
+    publishList();
+}
+
+void FlowNetwork::kill(const std::string &name)
+{
+    auto &agent = agentNamed(name);
+    agent.isRunning = false;
+    agent.isFrozen = false;
+    agent.stack.clear();
+    agent.waiting.clear();
+}
+
+void FlowNetwork::restart(const std::string &name)
+{
+    auto &agent = agentNamed(name);
+    agent.isRunning = true;
+    agent.flows = AgentFlows {};
+    agent.flows.limits = m_limits;
+    agent.flows.service = hashOf(std::string_view("ledger"));
+    agent.flows.revision = 1;
+    agent.flows.serviceAddresses = {ServiceAddress};
+    agent.flows.self = hashOf(name);
+    agent.flows.selfDaemon = agent.daemon;
+    agent.flows.incarnation = m_nextIncarnation++;
+    agent.flows.load.report.connectionLimit = 1'000'000;
+    agent.members = MemberTable {};
+    agent.members.machines.version = 0;
+    schedule(m_now, {m_now, 0, agent.daemon, m_list});
+}
+
+void FlowNetwork::freeze(const std::string &name)
+{
+    agentNamed(name).isFrozen = true;
+}
+
+void FlowNetwork::thaw(const std::string &name)
+{
+    auto &agent = agentNamed(name);
+    agent.isFrozen = false;
+    // A woken process handles what its socket holds before any timer; its clock has moved on meanwhile.
+    for (auto waiting = std::exchange(agent.waiting, {}); !waiting.empty(); waiting.pop_front())
+        handleAtAgent(agent, waiting.front());
+}
+
+void FlowNetwork::replaceEntry(std::size_t index)
+{
+    auto &entry = *m_entries.at(index);
+    entry.members = MemberTable {};
+    entry.table = RoutingTable {};
+    schedule(m_now, {m_now, 0, entry.daemon, m_list});
+}
+
+void FlowNetwork::setCut(const std::string &left, const std::string &right, bool isCut)
+{
+    m_cuts[{hashOf(left), hashOf(right)}] = isCut;
+    m_cuts[{hashOf(right), hashOf(left)}] = isCut;
+}
+
+void FlowNetwork::openFlows(int count, bool isSilent)
+{
+    for (int index = 0; index < count; ++index) {
+        auto caller = std::make_unique<Caller>();
+        const auto number = static_cast<std::uint32_t>(m_callers.size());
+        caller->flow = {{0x0a630000U + number / 50'000U, static_cast<std::uint16_t>(1 + number % 50'000U)}, ServiceAddress};
+        caller->isSilent = isSilent;
+        m_callerByFlow[caller->flow] = caller.get();
+        m_callers.push_back(std::move(caller));
+        ++m_counts.opened;
+    }
+}
+
+void FlowNetwork::run(Duration duration)
+{
+    const auto end = m_now + duration;
+    while (m_now < end)
+        step();
+}
+
+FlowCounts FlowNetwork::counts() const
+{
+    return m_counts;
+}
+
+int FlowNetwork::flowsAt(const std::string &name) const
+{
+    const auto found = std::find_if(m_agents.begin(), m_agents.end(), [&](const auto &agent) { return agent->name == name; });
+    return static_cast<int>((*found)->stack.size());
+}
+
+int FlowNetwork::silentFor(Duration limit) const
+{
+    return static_cast<int>(std::count_if(m_callers.begin(), m_callers.end(), [&](const auto &caller) {
+        return caller->stage == Caller::Stage::Established && caller->unansweredSince && m_now - *caller->unansweredSince > limit;
+    }));
+}
+
+int FlowNetwork::orphaned() const
+{
+    return static_cast<int>(std::count_if(m_callers.begin(), m_callers.end(), [&](const auto &caller) {
+        return caller->stage == Caller::Stage::Established && !isHeldByRunningStack(*caller);
+    }));
+}
+
+double FlowNetwork::meanHops() const
+{
+    return m_delivered == 0 ? 0 : 1 + static_cast<double>(m_hops) / static_cast<double>(m_delivered);
+}
+
+FlowNetwork::Agent &FlowNetwork::agentNamed(const std::string &name)
+{
+    return **std::find_if(m_agents.begin(), m_agents.end(), [&](const auto &agent) { return agent->name == name; });
+}
+
+bool FlowNetwork::chance(double probability)
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+}
+
+Duration FlowNetwork::randomDelay(Duration limit)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, limit.count())(m_random));
+}
+
+void FlowNetwork::publishList()
+{
+    ++m_list.version;
+    for (const auto &agent : m_agents)
+        schedule(m_now + randomDelay(m_faults.listLagLimit), {m_now, 0, agent->daemon, m_list});
+    for (const auto &entry : m_entries)
+        schedule(m_now + randomDelay(m_faults.listLagLimit), {m_now, 0, entry->daemon, m_list});
+}
+
+void FlowNetwork::schedule(TimePoint due, Event event)
+{
+    event.due = due;
+    event.order = ++m_eventCount;
+    m_events.push(std::move(event));
+}
+
+void FlowNetwork::transmit(const Endpoint &to, const FlowMessage &message, MemberId sender)
+{
+    for (const auto &agent : m_agents) {
+        if (agent->daemon == to && m_cuts[{sender, agent->flows.self}])
+            return;
+    }
+    if (chance(m_faults.loss))
+        return;
+    const int copies = chance(m_faults.duplication) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy)
+        schedule(m_now + randomDelay(m_faults.delayLimit), {m_now, 0, to, message});
+}
+
+void FlowNetwork::transmitToCaller(const ToCaller &segment)
+{
+    if (!chance(m_faults.loss))
+        schedule(m_now + randomDelay(m_faults.delayLimit), {m_now, 0, {}, segment});
+}
+
+void FlowNetwork::step()
+{
+    m_now += StepTime;
+    while (!m_events.empty() && m_events.top().due <= m_now) {
+        const auto event = m_events.top();
+        m_events.pop();
+        handle(event);
+    }
+    for (const auto &entry : m_entries)
+        tickEntry(*entry);
+    for (const auto &agent : m_agents)
+        tickAgent(*agent);
+    for (const auto &caller : m_callers)
+        tickCaller(*caller);
+}
+
+void FlowNetwork::handle(const Event &event)
+{
+    if (const auto *segment = std::get_if<ToCaller>(&event.payload)) {
+        handleAtCaller(*segment);
+        return;
+    }
+    for (const auto &entry : m_entries) {
+        if (entry->daemon == event.to)
+            handleAtEntry(*entry, event);
+    }
+    for (const auto &agent : m_agents) {
+        if (agent->daemon != event.to || !agent->isRunning)
+            continue;
+        if (const auto *list = std::get_if<VmList>(&event.payload)) {
+            (void)applyVmList(agent->members, *list, m_now);
+        } else if (const auto *message = std::get_if<FlowMessage>(&event.payload)) {
+            if (!agent->isFrozen)
+                handleAtAgent(*agent, *message);
+            else if (agent->waiting.size() < SocketBufferPackets)
+                agent->waiting.push_back(*message);
+        }
+    }
+}
+
+void FlowNetwork::handleAtEntry(Entry &entry, const Event &event)
+{
+    if (const auto *list = std::get_if<VmList>(&event.payload)) {
+        (void)applyVmList(entry.members, *list, m_now);
+    } else if (const auto *message = std::get_if<FlowMessage>(&event.payload)) {
+        if (const auto *heartbeat = std::get_if<Heartbeat>(message))
+            applyHeartbeat(entry.members, *heartbeat, m_now);
+    } else if (const auto *segment = std::get_if<SegmentSummary>(&event.payload)) {
+        const auto decision = routeFlow(entry.table, segment->flow);
+        if (decision.home != nullptr)
+            transmit(decision.home->daemon, Envelope {decision.route->service, 1, 0, 1, entry.daemon, toBytes(*segment)}, 1);
+    }
+}
+
+void FlowNetwork::handleAtAgent(Agent &agent, const FlowMessage &message)
+{
+    if (const auto *envelope = std::get_if<Envelope>(&message))
+        carryOut(agent, onEnvelope(agent.flows, *envelope, fromBytes(envelope->packet), m_now), envelope->hops);
+    else if (const auto *query = std::get_if<LocateQuery>(&message))
+        carryOut(agent, onLocateQuery(agent.flows, *query, m_now), 0);
+    else if (const auto *reply = std::get_if<LocateReply>(&message))
+        carryOut(agent, onLocateReply(agent.flows, *reply, m_now), 0);
+    else if (const auto *announce = std::get_if<Announce>(&message))
+        onAnnounce(agent.flows, *announce, m_now);
+    else if (const auto *release = std::get_if<Release>(&message))
+        onRelease(agent.flows, *release);
+    else if (const auto *heartbeat = std::get_if<Heartbeat>(&message))
+        applyHeartbeat(agent.members, *heartbeat, m_now);
+}
+
+void FlowNetwork::handleAtCaller(const ToCaller &segment)
+{
+    auto &caller = *m_callerByFlow.at(segment.flow);
+    if (caller.stage == Caller::Stage::Ended)
+        return;
+    switch (segment.kind) {
+    case ToCaller::Kind::SynAck:
+        if (caller.stage == Caller::Stage::Opening) {
+            caller.stage = Caller::Stage::Established;
+            caller.remoteSequence = segment.sequence;
+            ++m_counts.established;
+        }
+        // A repeated SYN is acknowledged again, and so is another agent's: with what the caller expects next.
+        sendFromCaller(caller, {caller.flow, 1, caller.remoteSequence + 1, false, false, true});
+        return;
+    case ToCaller::Kind::Answer:
+        if (segment.sequence == caller.remoteSequence)
+            caller.unansweredSince.reset();
+        return;
+    case ToCaller::Kind::Probe:
+        // A segment outside the window is answered with an acknowledgement.
+        if (caller.stage == Caller::Stage::Established)
+            sendFromCaller(caller, {caller.flow, 1, caller.remoteSequence + 1, false, false, true});
+        return;
+    case ToCaller::Kind::Reset:
+        if (caller.stage == Caller::Stage::Opening)
+            ++m_counts.refused;
+        else if (isHeldByRunningStack(caller))
+            ++m_counts.brokenWhileOwned;
+        else
+            ++m_counts.resetAfterLoss;
+        caller.stage = Caller::Stage::Ended;
+        return;
+    }
+}
+
+void FlowNetwork::carryOut(Agent &agent, const Effects &effects, std::uint8_t hops)
+{
+    for (const auto &effect : effects) {
+        if (const auto *send = std::get_if<SendMessage>(&effect))
+            transmit(send->to, send->message, agent.flows.self);
+        else if (const auto *packet = std::get_if<DeliverPacket>(&effect))
+            deliver(agent, packet->packet, hops);
+        else if (const auto *reset = std::get_if<SendReset>(&effect))
+            transmitToCaller({ToCaller::Kind::Reset, fromBytes(reset->packet).flow, 0});
+        else if (const auto *probe = std::get_if<SendProbe>(&effect))
+            transmitToCaller({ToCaller::Kind::Probe, probe->flow, probe->sequence});
+        else if (const auto *forget = std::get_if<ForgetFlow>(&effect))
+            agent.stack.erase(forget->flow);
+        else if (const auto *note = std::get_if<NoteDecision>(&effect)) {
+            const bool isTaken = note->reason == PlacementReason::Taken || note->reason == PlacementReason::TakenAtLastHop;
+            if (isTaken && agent.leavingSince && m_now - *agent.leavingSince > LeavingBound)
+                ++m_counts.takenWhileLeaving;
+        }
+    }
+}
+
+void FlowNetwork::deliver(Agent &agent, std::span<const std::byte> packet, std::uint8_t hops)
+{
+    const auto segment = fromBytes(packet);
+    const auto &caller = *m_callerByFlow.at(segment.flow);
+    ++m_delivered;
+    m_hops += hops;
+    if (segment.isSyn) {
+        const auto [entry, isNew] = agent.stack.try_emplace(segment.flow, m_nextSequence);
+        if (isNew)
+            m_nextSequence += 1'000;
+        onHandshakeSent(agent.flows, segment.flow, entry->second);
+        transmitToCaller({ToCaller::Kind::SynAck, segment.flow, entry->second});
+        return;
+    }
+    const auto held = agent.stack.find(segment.flow);
+    const bool isOwn = held != agent.stack.end() && segment.acknowledgement == held->second + 1;
+    if (!isOwn) {
+        if (caller.stage == Caller::Stage::Established)
+            ++m_counts.misdelivered;
+        // A stack answers a segment that fits none of its connections with a reset.
+        transmitToCaller({ToCaller::Kind::Reset, segment.flow, 0});
+        return;
+    }
+    onEstablished(agent.flows, segment.flow, m_now);
+    transmitToCaller({ToCaller::Kind::Answer, segment.flow, held->second});
+}
+
+void FlowNetwork::tickAgent(Agent &agent)
+{
+    if (!agent.isRunning || agent.isFrozen || m_now - agent.tickAt < TickInterval)
+        return;
+    agent.tickAt = m_now;
+    if (tick(agent.members, m_now))
+        agent.flows.locates.clear();
+    const bool isLeaving = std::any_of(agent.members.machines.machines.begin(), agent.members.machines.machines.end(), [&](const auto &machine) {
+        return machine.name == agent.name && machine.state == VmState::Leaving;
+    });
+    auto members = membersOfGroup(agent.members, "ledger", m_now);
+    for (auto &member : members) {
+        if (member.id != agent.flows.self)
+            continue;
+        member.health = MemberHealth::Alive;
+        member.incarnation = agent.flows.incarnation;
+    }
+    setMembers(agent.flows, std::move(members));
+    retryHandshakes(agent);
+    agent.flows.load.isLeaving = isLeaving;
+    agent.flows.load.report.connections = static_cast<std::uint32_t>(agent.stack.size());
+    carryOut(agent, onTick(agent.flows, m_now), 0);
+    if (m_now - agent.heartbeatAt < HeartbeatInterval)
+        return;
+    agent.heartbeatAt = m_now;
+    const Heartbeat heartbeat {agent.flows.self, agent.daemon, agent.flows.incarnation, isLeaving, 1, agent.flows.load.report};
+    for (const auto &other : m_agents) {
+        if (other->name != agent.name)
+            transmit(other->daemon, heartbeat, agent.flows.self);
+    }
+    for (const auto &entry : m_entries)
+        transmit(entry->daemon, heartbeat, agent.flows.self);
+}
+
+/// A stack repeats its SYN until it is acknowledged.
+void FlowNetwork::retryHandshakes(Agent &agent)
+{
+    if (m_now - agent.handshakesRetriedAt < SynRetry)
+        return;
+    agent.handshakesRetriedAt = m_now;
+    for (const auto &[flow, record] : agent.flows.owned) {
+        if (record.stage == FlowStage::Embryonic && agent.stack.contains(flow))
+            transmitToCaller({ToCaller::Kind::SynAck, flow, agent.stack.at(flow)});
+    }
+}
+
+void FlowNetwork::tickEntry(Entry &entry)
+{
+    if (m_now - entry.tickAt < TickInterval)
+        return;
+    entry.tickAt = m_now;
+    (void)tick(entry.members, m_now);
+    entry.table = buildRoutingTable(m_configuration, membersOfServices(entry.members, m_configuration, m_now));
+}
+
+void FlowNetwork::tickCaller(Caller &caller)
+{
+    if (caller.stage == Caller::Stage::Opening && m_now - caller.sentAt >= SynRetry) {
+        sendFromCaller(caller, {caller.flow, 0, 0, true, false, false});
+        return;
+    }
+    if (caller.stage != Caller::Stage::Established)
+        return;
+    if (caller.unansweredSince && m_now - caller.sentAt >= SegmentRetry) {
+        sendFromCaller(caller, {caller.flow, 1, caller.remoteSequence + 1, false, false, true});
+    } else if (!caller.unansweredSince && !caller.isSilent && m_now - caller.sentAt >= SegmentInterval) {
+        caller.unansweredSince = m_now;
+        sendFromCaller(caller, {caller.flow, 1, caller.remoteSequence + 1, false, false, true});
+    }
+}
+
+void FlowNetwork::sendFromCaller(Caller &caller, const SegmentSummary &segment)
+{
+    caller.sentAt = m_now;
+    const int copies = chance(m_faults.duplication) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        // Every copy may reach another entry daemon.
+        const auto &entry = *m_entries[std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random)];
+        if (!chance(m_faults.loss))
+            schedule(m_now + randomDelay(m_faults.delayLimit), {m_now, 0, entry.daemon, segment});
+    }
+}
+
+bool FlowNetwork::isHeldByRunningStack(const Caller &caller) const
+{
+    return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto &agent) {
+        const auto held = agent->stack.find(caller.flow);
+        return agent->isRunning && !agent->isFrozen && held != agent->stack.end() && held->second == caller.remoteSequence;
+    });
+}
+
+} // namespace Papaya
