TargetAgent: Confirm a target's end of stream before passing it on

Cause: the kernel closes the connections of a killed target in order (FIN), so a caller's stream that was cut looked whole, and the flow stayed half open: Connections.AKilledTargetBreaksOnlyItsOwn saw flows open 5 s after the kill.

Ruled out: treating every FIN of a target as a break, which would cut orderly half-closes.

Change: when the target side ends, the agent connects to the target once more; if that is refused, the caller gets a reset, otherwise the end is passed on. Tests of the whole system as separate processes: connections, requests, configuration.

Conclusion: a target that dies and is up again within the one connection attempt is still taken for alive.

--- a/Libraries/LibTransport/StreamBridge.cpp
+++ b/Libraries/LibTransport/StreamBridge.cpp
@@ -11,20 +11,25 @@
 
 } // namespace
 
-StreamBridge::StreamBridge(std::unique_ptr<LwipConnection> connection, FileDescriptor stream)
+StreamBridge::StreamBridge(std::unique_ptr<LwipConnection> connection, FileDescriptor stream, StreamEndPolicy policy)
     : m_connection(std::move(connection))
     , m_stream(std::move(stream))
+    , m_isEndConfirmed(policy == StreamEndPolicy::PassOn)
 {
 }
 
 BridgeState StreamBridge::pump()
 {
-    if (m_connection->isBroken() || !advanceConnect())
-        return breakBoth();
+    if (m_connection->isBroken() || !advanceConnect()) {
+        breakBoth();
+        return BridgeState::Broken;
+    }
     if (!m_isStreamConnected || !m_connection->isConnected())
         return BridgeState::Open;
-    if (!pumpToStream() || !pumpToConnection())
-        return breakBoth();
+    if (!pumpToStream() || !pumpToConnection()) {
+        breakBoth();
+        return BridgeState::Broken;
+    }
     if (!m_hasShutStream || !m_hasShutConnection)
         return BridgeState::Open;
     m_connection->close();
@@ -75,7 +80,7 @@
         else
             m_pending.assign(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(transfer.size));
     }
-    if (m_hasStreamEnded && m_pending.empty() && !m_hasShutConnection) {
+    if (m_hasStreamEnded && m_isEndConfirmed && m_pending.empty() && !m_hasShutConnection) {
         m_connection->shutdownWrite();
         m_hasShutConnection = true;
     }
@@ -92,11 +97,10 @@
     return m_pending.empty();
 }
 
-BridgeState StreamBridge::breakBoth()
+void StreamBridge::breakBoth()
 {
     m_connection->abort();
     resetStream(m_stream);
-    return BridgeState::Broken;
 }
 
 } // namespace Papaya
--- a/Libraries/LibTransport/StreamBridge.h
+++ b/Libraries/LibTransport/StreamBridge.h
@@ -17,15 +17,31 @@
     Broken,
 };
 
+/// What a bridge does when the kernel side sent its last byte.
+enum class StreamEndPolicy {
+    /// The end is passed on at once.
+    PassOn,
+    /// The end is passed on once confirmEnd() was called: the kernel closes the connections of a killed process in order, which
+    /// would make a stream that was cut look whole.
+    AwaitConfirmation,
+};
+
 /// Carries the bytes of one connection between the stack and a kernel socket, with back-pressure and half-closes.
 class StreamBridge
 {
 public:
-    StreamBridge(std::unique_ptr<LwipConnection> connection, FileDescriptor stream);
+    StreamBridge(std::unique_ptr<LwipConnection> connection, FileDescriptor stream, StreamEndPolicy policy);
 
     /// Moves what can be moved, under LwipLock. Once it returned something other than Open, the bridge is over.
     BridgeState pump();
 
+    /// Whether the kernel side ended and that end waits to be confirmed.
+    [[nodiscard]] bool awaitsConfirmation() const { return m_hasStreamEnded && !m_isEndConfirmed; }
+    /// Confirms that the kernel side ended because its program meant it to.
+    void confirmEnd() { m_isEndConfirmed = true; }
+    /// Resets both sides. The bridge is over then.
+    void breakBoth();
+
     [[nodiscard]] LwipConnection &connection() { return *m_connection; }
     [[nodiscard]] int descriptor() const { return m_stream.get(); }
 
@@ -36,13 +52,13 @@
     [[nodiscard]] bool pumpToConnection();
     /// Hands what was read from the stream to the connection. Returns whether nothing is left over.
     bool flushPending();
-    BridgeState breakBoth();
 
     std::unique_ptr<LwipConnection> m_connection;
     FileDescriptor m_stream;
     std::vector<std::byte> m_pending;
     bool m_isStreamConnected = false;
     bool m_hasStreamEnded = false;
+    bool m_isEndConfirmed;
     bool m_hasShutConnection = false;
     bool m_hasShutStream = false;
 };
--- a/Services/TargetAgent/FlowTask.cpp
+++ b/Services/TargetAgent/FlowTask.cpp
@@ -266,7 +266,7 @@
         return;
     }
     connection->setToken(token);
-    auto bridge = std::make_unique<StreamBridge>(std::move(connection), std::move(stream.value()));
+    auto bridge = std::make_unique<StreamBridge>(std::move(connection), std::move(stream.value()), StreamEndPolicy::AwaitConfirmation);
     m_poll.addStream(bridge->descriptor(), token);
     m_bridges.emplace(token, std::move(bridge));
     pumpBridge(token);
@@ -278,10 +278,21 @@
     if (found == m_bridges.end())
         return;
     auto &bridge = *found->second;
+    const bool wasAwaiting = bridge.awaitsConfirmation();
     const auto state = bridge.pump();
-    if (state == BridgeState::Open)
-        return;
-    const auto flow = bridge.connection().flow();
+    if (state != BridgeState::Open) {
+        endBridge(token, state);
+    } else if (bridge.awaitsConfirmation() && !wasAwaiting) {
+        // The target must prove that it still runs; a check that began earlier proves nothing about now.
+        m_endsForNextCheck.push_back(token);
+        startTargetCheck(currentTime());
+    }
+}
+
+void FlowTask::endBridge(std::uint64_t token, BridgeState state)
+{
+    const auto found = m_bridges.find(token);
+    const auto flow = found->second->connection().flow();
     if (state == BridgeState::Done) {
         onFinished(m_flows, flow, currentTime());
     } else {
@@ -378,8 +389,15 @@
             concludeTargetCheck(false);
         return;
     }
-    if (now - m_targetCheckedAt < TargetCheckInterval)
+    if (now - m_targetCheckedAt >= TargetCheckInterval)
+        startTargetCheck(now);
+}
+
+void FlowTask::startTargetCheck(TimePoint now)
+{
+    if (m_targetCheck.isOpen())
         return;
+    m_endsUnderCheck = std::exchange(m_endsForNextCheck, {});
     m_targetCheckedAt = now;
     auto stream = connectStream(m_settings.target);
     if (stream.has_error()) {
@@ -398,6 +416,25 @@
     m_isTargetKnownUp = isUp;
     m_flows.load.isTargetDown = !isUp;
     m_engine->setTargetDown(!isUp);
+    concludeStreamEnds(isUp);
+    if (!m_endsForNextCheck.empty())
+        startTargetCheck(currentTime());
+}
+
+void FlowTask::concludeStreamEnds(bool isTargetUp)
+{
+    for (const auto token : std::exchange(m_endsUnderCheck, {})) {
+        const auto found = m_bridges.find(token);
+        if (found == m_bridges.end())
+            continue;
+        if (isTargetUp) {
+            found->second->confirmEnd();
+            pumpBridge(token);
+        } else {
+            found->second->breakBoth();
+            endBridge(token, BridgeState::Broken);
+        }
+    }
 }
 
 bool FlowTask::isLeaving() const
--- a/Services/TargetAgent/FlowTask.h
+++ b/Services/TargetAgent/FlowTask.h
@@ -54,7 +54,10 @@
     void updateLoad();
     void sendHeartbeats();
     void checkTarget(TimePoint now);
+    void startTargetCheck(TimePoint now);
     void concludeTargetCheck(bool isUp);
+    void concludeStreamEnds(bool isTargetUp);
+    void endBridge(std::uint64_t token, BridgeState state);
     [[nodiscard]] bool isLeaving() const;
     [[nodiscard]] bool hasNothingLeft() const;
     [[nodiscard]] std::size_t connectionCount() const;
@@ -81,6 +84,9 @@
     std::uint64_t m_nextToken;
     FileDescriptor m_targetCheck;
     TimePoint m_targetCheckedAt;
+    /// Bridges whose target side ended: by the check that runs, or only by the one after it.
+    std::vector<std::uint64_t> m_endsUnderCheck;
+    std::vector<std::uint64_t> m_endsForNextCheck;
     TimePoint m_heartbeatAt;
     bool m_isTargetKnownUp = false;
     bool m_isStopping = false;
--- /dev/null
+++ b/Tests/Whole/TestConfigurationSpread.cpp
@@ -0,0 +1,82 @@
+#include "Whole/WholeFixture.h"
+
+#include <thread>
+
+namespace Papaya {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The users' letter: a change is in force everywhere within 7 s.
+constexpr auto SpreadBound = 7s;
+
+class ConfigurationSpread : public WholeFixture
+{
+};
+
+} // namespace
+
+TEST_F(ConfigurationSpread, TwoQuickChangesEndInTheLaterOneEverywhereAndNothingGoesBack)
+{
+    startDeployment(2, 2);
+    const auto text = m_deployment->configurationText();
+    m_deployment->publishConfiguration(3, text + "; second\n");
+    m_deployment->publishConfiguration(2, text + "; first, late\n");
+    EXPECT_TRUE(Deployment::waitUntil([&] { return isInForceEverywhere(3); }, SpreadBound));
+    std::this_thread::sleep_for(3s);
+    EXPECT_TRUE(isInForceEverywhere(3));
+}
+
+TEST_F(ConfigurationSpread, AnInvalidTextChangesNothing)
+{
+    startDeployment(1, 1);
+    const auto text = m_deployment->configurationText();
+    m_deployment->publishConfiguration(5, text.substr(0, text.size() / 2));
+    std::this_thread::sleep_for(2s);
+    EXPECT_TRUE(isInForceEverywhere(1));
+    m_deployment->publishConfiguration(6, text + "; whole\n");
+    EXPECT_TRUE(Deployment::waitUntil([&] { return isInForceEverywhere(6); }, SpreadBound));
+}
+
+TEST_F(ConfigurationSpread, ReachesAStartingProcessFromPeersWhileThePlatformIsStaleOrDown)
+{
+    startDeployment(2, 1);
+    const auto text = m_deployment->configurationText();
+    m_deployment->publishConfiguration(9, text + "; nine\n");
+    ASSERT_TRUE(Deployment::waitUntil([&] { return isInForceEverywhere(9); }, SpreadBound));
+    // The platform falls back to an old revision, and a process starts with nothing but that.
+    m_deployment->publishConfiguration(4, text + "; four\n");
+    m_deployment->killProcess("ledger-1");
+    m_deployment->startProcess("ledger-1");
+    EXPECT_TRUE(Deployment::waitUntil([&] { return revisionAt("ledger-1") == 9; }, SpreadBound));
+    EXPECT_TRUE(isInForceEverywhere(9));
+    // The platform goes down, and a process that the others still know starts without it.
+    m_deployment->setPlatformDown(true);
+    m_deployment->killProcess("entry-2");
+    m_deployment->startProcess("entry-2");
+    EXPECT_TRUE(Deployment::waitUntil([&] { return revisionAt("entry-2") == 9; }, SpreadBound));
+    auto connections = openConnections(6);
+    EXPECT_EQ(exchangeAll(connections, "without platform\n"), 0);
+}
+
+TEST_F(ConfigurationSpread, AnAddressThatMovesReachesOnlyTheServiceThatHasIt)
+{
+    startDeployment(1, 1);
+    EXPECT_EQ(request("GET", "before").outcome, "answered");
+    auto connections = openConnections(4);
+    auto text = m_deployment->configurationText();
+    // The catalogue's address goes to the ledger, whose protocol is another.
+    const std::string old = "addresses = 10.20.0.1:7000";
+    text.replace(text.find(old), old.size(), "addresses = 10.20.0.1:7000, 10.20.0.2:80");
+    const std::string catalogue = "addresses = 10.20.0.2:80\nprotocol = http";
+    text.replace(text.find(catalogue), catalogue.size(), "addresses = 10.20.0.9:80\nprotocol = http");
+    m_deployment->publishConfiguration(2, text);
+    ASSERT_TRUE(Deployment::waitUntil([&] { return isInForceEverywhere(2); }, SpreadBound));
+    StandingConnection moved(m_deployment->callerAddress("catalogue"));
+    EXPECT_TRUE(moved.exchange("GET /to-the-ledger HTTP/1.1\r\n\r\n", ExchangeLimit));
+    EXPECT_EQ(m_deployment->readJournals("catalogue").find("to-the-ledger"), std::string::npos);
+    EXPECT_EQ(exchangeAll(connections, "kept\n"), 0);
+}
+
+} // namespace Papaya
