LibTransport: Let the event-based tasks of a daemon sleep

Cause: an idle entry daemon used 106 ticks of 10 ms in 10 s, 10.6% of a core, against the users' 2.2% for control. CAF's work-stealing scheduler polls its queues in every worker thread.

Ruled out: our own loops (20 ms and 50 ms waits): per-thread times showed the workers.

Change: the sharing scheduler with one thread.

--- a/Libraries/LibTransport/DaemonProgram.cpp
+++ b/Libraries/LibTransport/DaemonProgram.cpp
@@ -104,6 +104,15 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+caf::actor_system_config makeActorConfiguration()
+{
+    caf::actor_system_config config;
+    // The default policy, work stealing, polls its queues 100 times a second in each of its threads even when idle.
+    config.set("scheduler.policy", caf::atom("sharing"));
+    config.set("scheduler.max-threads", std::size_t {1});
+    return config;
+}
+
 void runDaemon(caf::actor_system &system, const DaemonSettings &settings, DaemonRole role, const MainTaskFactory &factory)
 {
     caf::scoped_actor self(system);
--- a/Libraries/LibTransport/DaemonProgram.h
+++ b/Libraries/LibTransport/DaemonProgram.h
@@ -33,6 +33,9 @@
 /// Blocks SIGTERM and SIGINT in this thread and all that it will start, so that runDaemon() can wait for them.
 void blockStopSignals();
 
+/// Returns CAF's configuration for a daemon: its few event-based tasks share one thread that sleeps when there is nothing to do.
+[[nodiscard]] caf::actor_system_config makeActorConfiguration();
+
 /// Starts the main task of a daemon; `program` is the actor that it tells when it stopped.
 using MainTaskFactory = std::function<caf::actor(caf::actor_system &, const caf::actor &program)>;
 
--- a/Services/EntryDaemon/main.cpp
+++ b/Services/EntryDaemon/main.cpp
@@ -60,7 +60,7 @@
         return Papaya::ExitSuccess;
     }
     Papaya::blockStopSignals();
-    caf::actor_system_config config;
+    auto config = Papaya::makeActorConfiguration();
     caf::actor_system system(config);
     Papaya::runDaemon(system, *settings, Papaya::DaemonRole::Entry, [&](caf::actor_system &owner, const caf::actor &program) {
         return spawnForwardTask(owner, *settings, program);
--- a/Services/TargetAgent/main.cpp
+++ b/Services/TargetAgent/main.cpp
@@ -64,7 +64,7 @@
         return Papaya::ExitSuccess;
     }
     Papaya::blockStopSignals();
-    caf::actor_system_config config;
+    auto config = Papaya::makeActorConfiguration();
     caf::actor_system system(config);
     Papaya::runDaemon(system, *settings, Papaya::DaemonRole::Target, [&](caf::actor_system &owner, const caf::actor &program) {
         return spawnFlowTask(owner, *settings, program);
