--- a/Libraries/LibCoordination/MemberTable.cpp
+++ b/Libraries/LibCoordination/MemberTable.cpp
@@ -1,5 +1,7 @@
 #include "LibCoordination/MemberTable.h"
 
+#include "LibCoordination/RendezvousHash.h"
+
 #include <algorithm>
 
 namespace Papaya {
@@ -104,10 +106,29 @@
 
 MembersByService membersOfServices(const MemberTable &table, const Configuration &configuration, TimePoint now)
 {
-    MembersByService members;
+    std::unordered_map<std::string_view, std::string_view> serviceOfGroup;
     for (const auto &service : configuration.services)
-        members[service.name] = membersOfGroup(table, service.targetGroup, now);
+        serviceOfGroup.emplace(service.targetGroup, service.name);
+    MembersByService members;
+    for (const auto &machine : table.machines.machines) {
+        const auto service = serviceOfGroup.find(machine.group);
+        if (machine.role == VmRole::Target && service != serviceOfGroup.end())
+            members[std::string(service->second)].push_back(describeMember(table, machine, now));
+    }
     return members;
 }
 
+std::uint64_t eligibilitySignature(const MemberTable &table, TimePoint now)
+{
+    std::uint64_t signature = rendezvousWeight(table.machines.version, table.machines.machines.size());
+    for (const auto &[member, since] : table.listedSince) {
+        const auto seen = table.observations.find(member);
+        const bool isLeaving = seen != table.observations.end() && seen->second.last.isLeaving;
+        const auto state = static_cast<std::uint64_t>(healthOf(table, member, now)) * 2 + (isLeaving ? 1 : 0);
+        // A sum does not depend on the order of the hash map.
+        signature += rendezvousWeight(member, state + 1);
+    }
+    return signature;
+}
+
 } // namespace Papaya
--- a/Libraries/LibCoordination/MemberTable.h
+++ b/Libraries/LibCoordination/MemberTable.h
@@ -73,7 +73,11 @@
 /// Returns the agents of one group, in the order of the platform's list.
 [[nodiscard]] std::vector<Member> membersOfGroup(const MemberTable &table, std::string_view group, TimePoint now);
 
-/// Returns the agents of every service of a configuration.
+/// Returns the agents of every service of a configuration; services without agents are left out.
 [[nodiscard]] MembersByService membersOfServices(const MemberTable &table, const Configuration &configuration, TimePoint now);
 
+/// Returns a number that changes whenever the list, or the health or leaving of a member, does. It costs far less than the
+/// members themselves, so that they are built only when something changed.
+[[nodiscard]] std::uint64_t eligibilitySignature(const MemberTable &table, TimePoint now);
+
 } // namespace Papaya
--- a/Libraries/LibCoordination/PeerSelection.cpp
+++ b/Libraries/LibCoordination/PeerSelection.cpp
@@ -69,4 +69,28 @@
     return observers;
 }
 
+std::unordered_set<MemberId> unobservedBy(std::span<const VirtualMachine> machines, std::string_view entry, const PeerLimits &limits)
+{
+    std::vector<std::uint64_t> entries;
+    std::uint64_t own = 0;
+    for (const auto &machine : machines) {
+        if (machine.role != VmRole::Entry)
+            continue;
+        entries.push_back(hashOf(machine.name));
+        if (machine.name == entry)
+            own = entries.back();
+    }
+    std::unordered_set<MemberId> unobserved;
+    for (const auto &machine : machines) {
+        if (machine.role != VmRole::Target)
+            continue;
+        const auto key = hashOf(machine.name);
+        const auto ranked = rendezvousRank(entries, key, limits.heartbeatObservers);
+        const bool isObserver = std::any_of(ranked.begin(), ranked.end(), [&](std::size_t index) { return entries[index] == own; });
+        if (!isObserver)
+            unobserved.insert(key);
+    }
+    return unobserved;
+}
+
 } // namespace Papaya
--- a/Libraries/LibCoordination/PeerSelection.h
+++ b/Libraries/LibCoordination/PeerSelection.h
@@ -4,6 +4,7 @@
 #include "LibState/VmList.h"
 
 #include <span>
+#include <unordered_set>
 #include <vector>
 
 /// Which other daemons a daemon talks to for control, so that no one talks to all.
@@ -34,4 +35,8 @@
 [[nodiscard]] std::vector<VirtualMachine>
 selectHeartbeatObservers(std::span<const VirtualMachine> machines, const VirtualMachine &self, const PeerLimits &limits);
 
+/// Returns the agents whose heartbeats do not go to the entry daemon `entry`.
+[[nodiscard]] std::unordered_set<MemberId>
+unobservedBy(std::span<const VirtualMachine> machines, std::string_view entry, const PeerLimits &limits);
+
 } // namespace Papaya
--- a/Libraries/LibTransport/PeerTask.cpp
+++ b/Libraries/LibTransport/PeerTask.cpp
@@ -15,6 +15,8 @@
 constexpr Duration PollTime {50};
 constexpr Duration ReconnectInterval {1'000};
 constexpr Duration DigestInterval {2'000};
+/// How long an asked peer has to send what is missing before another one is asked.
+constexpr Duration AskInterval {300};
 /// Connections that are kept at once, in and out; more are refused.
 constexpr std::size_t PeerLimit = 128;
 
@@ -142,11 +144,25 @@
         peer.channel.send(encodePeerFrame(*m_configuration->text));
     if (own.vmListVersion > digest.vmListVersion)
         peer.channel.send(encodePeerFrame(VmListText {*m_machines->text}));
+    if (isWorthAsking(own, digest))
+        sendDigest(peer);
     const bool isConflict = own.configurationRevision == digest.configurationRevision && own.configurationHash != digest.configurationHash;
     if (isConflict)
         EventLog("configuration_conflict", LogLevel::Error).with("revision", own.configurationRevision);
 }
 
+/// Returns whether to tell a peer that is ahead that this daemon is behind, which makes the peer send what is missing. One peer
+/// is asked at a time, so that a text does not come from all of them.
+bool PeerTask::isWorthAsking(const Digest &own, const Digest &theirs)
+{
+    const bool isBehind = own.configurationRevision < theirs.configurationRevision || own.vmListVersion < theirs.vmListVersion;
+    const auto now = currentTime();
+    if (!isBehind || now - m_askedAt < AskInterval)
+        return false;
+    m_askedAt = now;
+    return true;
+}
+
 void PeerTask::sendDigest(Peer &peer)
 {
     peer.channel.send(encodePeerFrame(ownDigest()));
--- a/Libraries/LibTransport/PeerTask.h
+++ b/Libraries/LibTransport/PeerTask.h
@@ -35,6 +35,7 @@
     void pumpPeer(std::uint64_t token);
     [[nodiscard]] bool handleFrame(Peer &peer, std::span<const std::byte> frame);
     void handleDigest(Peer &peer, const Digest &digest);
+    [[nodiscard]] bool isWorthAsking(const Digest &own, const Digest &theirs);
     void sendDigest(Peer &peer);
     void announceToAll();
     [[nodiscard]] Digest ownDigest() const;
@@ -50,6 +51,7 @@
     std::optional<VmListInForce> m_machines;
     TimePoint m_connectedAt;
     TimePoint m_digestAt;
+    TimePoint m_askedAt;
     bool m_isStopped = false;
 };
 
--- a/Services/EntryDaemon/ForwardTask.cpp
+++ b/Services/EntryDaemon/ForwardTask.cpp
@@ -21,18 +21,6 @@
 constexpr Duration StopDelay {2'000};
 constexpr std::size_t ExplainedRanks = 4;
 
-std::uint64_t signatureOf(const MembersByService &members)
-{
-    std::uint64_t signature = 0;
-    for (const auto &[service, list] : members) {
-        for (const auto &member : list) {
-            const auto state = static_cast<std::uint64_t>(member.health) * 2 + (member.isLeaving ? 1 : 0);
-            signature += rendezvousWeight(member.id ^ hashOf(toString(member.daemon)), state + 1);
-        }
-    }
-    return signature;
-}
-
 } // namespace
 
 ForwardTask::ForwardTask(caf::actor_config &config,
@@ -124,16 +112,7 @@
 {
     if (!applyVmList(m_members, machines, currentTime()))
         return;
-    m_members.unobserved.clear();
-    for (const auto &machine : machines.machines) {
-        if (machine.role != VmRole::Target)
-            continue;
-        const auto observers = selectHeartbeatObservers(machines.machines, machine, PeerLimits {});
-        const bool isObserver = std::any_of(
-            observers.begin(), observers.end(), [&](const VirtualMachine &observer) { return observer.name == m_settings.name; });
-        if (!isObserver)
-            m_members.unobserved.insert(hashOf(machine.name));
-    }
+    m_members.unobserved = unobservedBy(machines.machines, m_settings.name, PeerLimits {});
     rebuildTable();
 }
 
@@ -141,12 +120,12 @@
 {
     if (!m_configuration)
         return;
-    const auto members = membersOfServices(m_members, *m_configuration, currentTime());
-    const auto signature = signatureOf(members) + m_configuration->revision;
+    const auto now = currentTime();
+    const auto signature = eligibilitySignature(m_members, now) + m_configuration->revision;
     if (signature == m_tableSignature)
         return;
     m_tableSignature = signature;
-    m_table = buildRoutingTable(*m_configuration, members);
+    m_table = buildRoutingTable(*m_configuration, membersOfServices(m_members, *m_configuration, now));
     for (const auto &route : m_table.services)
         EventLog("routing_table").with("revision", m_table.revision).with("service", route.name).with("eligible", route.eligible.size());
 }
--- a/Tests/LibCoordination/TestPeerSelection.cpp
+++ b/Tests/LibCoordination/TestPeerSelection.cpp
@@ -1,5 +1,7 @@
 #include "LibCoordination/PeerSelection.h"
 
+#include "LibState/FlowKey.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -65,4 +67,23 @@
     }
 }
 
+TEST(PeerSelection, EntryDaemonsAndAgentsAgreeOnWhoObservesWhom)
+{
+    const auto fleet = makeFleet(120);
+    const PeerLimits limits;
+    for (const auto &entry : fleet) {
+        if (entry.role != VmRole::Entry)
+            continue;
+        const auto unobserved = unobservedBy(fleet, entry.name, limits);
+        for (const auto &agent : fleet) {
+            if (agent.role != VmRole::Target)
+                continue;
+            const auto observers = selectHeartbeatObservers(fleet, agent, limits);
+            const bool isObserver =
+                std::any_of(observers.begin(), observers.end(), [&](const auto &observer) { return observer.name == entry.name; });
+            EXPECT_NE(unobserved.contains(hashOf(agent.name)), isObserver);
+        }
+    }
+}
+
 } // namespace Papaya
--- a/Tests/Whole/TestRequests.cpp
+++ b/Tests/Whole/TestRequests.cpp
@@ -47,7 +47,7 @@
         // The first takes longest, so that answers out of order would show.
         const auto work = std::to_string(50 - 10 * index);
         pipeline += "GET /horn HTTP/1.1\r\nHost: a\r\nRequest-Id: p" + std::to_string(index) + "\r\nWork-Ms: " + work + "\r\n"
-            + (index == 4 ? "Connection: close\r\n" : "") + "\r\n";
+                    + (index == 4 ? "Connection: close\r\n" : "") + "\r\n";
     }
     const auto answers = exchangeRaw(m_deployment->callerAddress("catalogue"), pipeline);
     std::size_t position = 0;
