--- /dev/null
+++ b/Benchmarks/MeasuresMain.cpp
@@ -0,0 +1,145 @@
+// Prints the users' measures, the product's policy beside its baselines, from one seeded run in virtual time, and writes the
+// same as CSV to the file given as the first argument.
+
+#include "RequestModel.h"
+
+#include "LibCoordination/RendezvousHash.h"
+#include "LibState/FlowKey.h"
+
+#include <cstdio>
+#include <fstream>
+#include <random>
+#include <string>
+
+namespace {
+
+using namespace Papaya;
+
+constexpr std::uint64_t Seed = 1;
+
+class Table
+{
+public:
+    explicit Table(const char *csvPath)
+    {
+        if (csvPath != nullptr)
+            m_csv.open(csvPath);
+        m_csv << "deployment,measure,baseline,figure,bound\n";
+    }
+
+    void add(const std::string &deployment, const std::string &measure, std::string_view baseline, double figure, const std::string &bound)
+    {
+        std::printf("%-16s %-38s %-26.*s %10.4g  %s\n", deployment.c_str(), measure.c_str(), static_cast<int>(baseline.size()), baseline.data(), figure, bound.c_str());
+        std::fflush(stdout);
+        m_csv << deployment << ',' << measure << ',' << baseline << ',' << figure << ',' << bound << '\n';
+    }
+
+private:
+    std::ofstream m_csv;
+};
+
+std::string join(PlacementPolicy placement, QueuePolicy queue)
+{
+    return std::string(policyName(placement)) + "+" + std::string(policyName(queue));
+}
+
+RequestPlan basePlan(int slots)
+{
+    RequestPlan plan;
+    plan.slots = slots;
+    plan.seed = Seed;
+    return plan;
+}
+
+void measureImbalance(Table &table, const std::string &deployment, int slots)
+{
+    for (const auto placement : {PlacementPolicy::Protocol, PlacementPolicy::Random, PlacementPolicy::HashAlone, PlacementPolicy::LeastReported}) {
+        auto plan = basePlan(slots);
+        plan.placement = placement;
+        const auto outcome = runRequests(plan);
+        table.add(deployment, "imbalance, 70% load", policyName(placement), outcome.imbalance, "1.25");
+        table.add(deployment, "in time, of offered, 70% load", policyName(placement), outcome.answeredInTime / outcome.offered, "");
+        if (placement == PlacementPolicy::Protocol)
+            table.add(deployment, "mean hops of a new flow", policyName(placement), outcome.meanHops, "1.2");
+        plan.hasLyingTarget = true;
+        table.add(deployment, "imbalance, slowest target lies", policyName(placement), runRequests(plan).imbalance, "1.25");
+    }
+}
+
+void measureCrest(Table &table, const std::string &deployment, int slots)
+{
+    for (const double crest : {3.0, 6.0}) {
+        for (const auto queue : {QueuePolicy::Policy, QueuePolicy::Unbounded, QueuePolicy::FixedLength}) {
+            auto plan = basePlan(slots);
+            plan.queue = queue;
+            plan.crestLoad = crest;
+            const auto outcome = runRequests(plan);
+            const auto name = " at " + std::to_string(static_cast<int>(crest)) + "x";
+            const auto admitted = outcome.offered - outcome.shed;
+            table.add(deployment, "crest goodput of capacity" + name, policyName(queue), outcome.crestGoodput, "0.95");
+            table.add(deployment, "admitted answered in time" + name, policyName(queue), outcome.answeredInTime / admitted, "1");
+            table.add(deployment, "recovery seconds" + name, policyName(queue), outcome.recoverySeconds, "5");
+        }
+    }
+}
+
+void measureStragglers(Table &table, const std::string &deployment, int slots)
+{
+    for (const auto queue : {QueuePolicy::Policy, QueuePolicy::Unbounded}) {
+        auto plan = basePlan(slots);
+        plan.queue = queue;
+        const auto without = runRequests(plan);
+        plan.stragglerFraction = 0.01;
+        const auto with = runRequests(plan);
+        table.add(deployment, "short work p99 without stragglers", policyName(queue), without.percentile99, "");
+        table.add(deployment, "short work p99 ratio, 1% stragglers", policyName(queue), with.percentile99 / without.percentile99, "2");
+        table.add(deployment, "short work p99.9 ratio, 1% stragglers", policyName(queue), with.percentile999 / without.percentile999, "2");
+    }
+}
+
+void measureColdStart(Table &table, const std::string &deployment, int slots)
+{
+    for (const auto placement : {PlacementPolicy::Protocol, PlacementPolicy::Random}) {
+        auto plan = basePlan(slots);
+        plan.placement = placement;
+        plan.queue = placement == PlacementPolicy::Protocol ? QueuePolicy::Policy : QueuePolicy::Unbounded;
+        plan.coldFactor = 10;
+        plan.load = 0.5;
+        table.add(deployment, "late at a cold target", join(placement, plan.queue), runRequests(plan).missedAtJoined, "0");
+    }
+}
+
+/// Flows, of a million, whose packets go elsewhere when one of eight targets joins: what breaks without hand-over.
+void measureMoves(Table &table)
+{
+    constexpr int Flows = 200'000;
+    std::mt19937_64 random(Seed);
+    std::vector<std::uint64_t> targets;
+    for (int index = 0; index < 8; ++index)
+        targets.push_back(hashOf("target-" + std::to_string(index)));
+    const auto before = std::span(targets).first(7);
+    int movedByModulo = 0;
+    int movedByRank = 0;
+    for (int index = 0; index < Flows; ++index) {
+        const auto key = random();
+        movedByModulo += key % 7 != key % 8 ? 1 : 0;
+        movedByRank += rendezvousFirst(before, key) != rendezvousFirst(targets, key) ? 1 : 0;
+    }
+    table.add("both", "moved flows per million, 7 to 8", "modulo", 1e6 * movedByModulo / Flows, "");
+    table.add("both", "moved flows per million, 7 to 8", "rendezvous", 1e6 * movedByRank / Flows, "125000 (1/n)");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Table table(argc > 1 ? argv[1] : nullptr);
+    std::printf("seed %llu\n", static_cast<unsigned long long>(Seed));
+    measureMoves(table);
+    for (const auto &[deployment, slots] : {std::pair<std::string, int> {"7 targets x 7", 7}, {"7 targets x 5", 5}}) {
+        measureImbalance(table, deployment, slots);
+        measureCrest(table, deployment, slots);
+        measureStragglers(table, deployment, slots);
+        measureColdStart(table, deployment, slots);
+    }
+}
--- a/Benchmarks/SlopeTable.cpp
+++ b/Benchmarks/SlopeTable.cpp
@@ -48,7 +48,10 @@
     return fit;
 }
 
-void printSlope(const std::string &name, const std::string &unit, const std::vector<double> &sizes, const std::function<double(double)> &measure)
+void printSlope(const std::string &name,
+                const std::string &unit,
+                const std::vector<double> &sizes,
+                const std::function<double(double)> &measure)
 {
     std::vector<SlopePoint> points;
     std::printf("%-42s", name.c_str());
--- a/Benchmarks/SlopeTable.h
+++ b/Benchmarks/SlopeTable.h
@@ -24,7 +24,10 @@
 [[nodiscard]] SlopeFit fitLine(const std::vector<SlopePoint> &points);
 
 /// Measures a figure at each size and prints sizes, figures and the fitted line.
-void printSlope(const std::string &name, const std::string &unit, const std::vector<double> &sizes, const std::function<double(double)> &measure);
+void printSlope(const std::string &name,
+                const std::string &unit,
+                const std::vector<double> &sizes,
+                const std::function<double(double)> &measure);
 
 /// Returns the least processor time of one call in nanoseconds, over several rounds of `calls` calls.
 [[nodiscard]] double nanosecondsPerCall(int calls, const std::function<void()> &call);
--- a/Benchmarks/SlopesMain.cpp
+++ b/Benchmarks/SlopesMain.cpp
@@ -56,7 +56,7 @@
     std::string text;
     for (const auto &service : makeConfiguration(services).services) {
         text += "[service " + service.name + "]\naddresses = " + toString(service.addresses.front()) + "\nprotocol = http\ntarget_group = "
-            + service.targetGroup + "\nslots = 7\nqueue_limit = 64\nconnection_limit = 4096\ndeadline_ms = 2500\n";
+                + service.targetGroup + "\nslots = 7\nqueue_limit = 64\nconnection_limit = 4096\ndeadline_ms = 2500\n";
     }
     return text;
 }
@@ -144,7 +144,9 @@
 void measureKnowledge()
 {
     const std::vector<double> services {77, 155, 310, 620};
-    printSlope("configuration text, by services", "bytes", services, [](double count) { return static_cast<double>(makeText(static_cast<int>(count)).size()); });
+    printSlope("configuration text, by services", "bytes", services, [](double count) {
+        return static_cast<double>(makeText(static_cast<int>(count)).size());
+    });
     printSlope("parsing a configuration, by services", "ns", services, [](double count) {
         const auto text = makeText(static_cast<int>(count));
         return nanosecondsPerCall(5, [&] { (void)parseConfiguration(1, text); });
@@ -156,7 +158,9 @@
         return heapBytes() - before;
     });
     const std::vector<double> machines {494, 988, 1'975, 3'950};
-    printSlope("VM list, by machines", "bytes", machines, [](double count) { return static_cast<double>(formatVmList(makeMachines(static_cast<int>(count), 620)).size()); });
+    printSlope("VM list, by machines", "bytes", machines, [](double count) {
+        return static_cast<double>(formatVmList(makeMachines(static_cast<int>(count), 620)).size());
+    });
     printSlope("parsing a VM list, by machines", "ns", machines, [](double count) {
         const auto text = formatVmList(makeMachines(static_cast<int>(count), 620));
         return nanosecondsPerCall(3, [&] { (void)parseVmList(text); });
@@ -315,7 +319,8 @@
 void printSpread(const char *name, const SpreadPlan &plan)
 {
     const auto result = spreadRevision(plan, PeerLimits {});
-    std::printf("spread %-28s daemons %d reached %d last %lld ms, after cut %lld ms, bytes a daemon %.0f mean %.0f greatest, %d readers (seed %llu)\n",
+    std::printf("spread %-28s daemons %d reached %d last %lld ms, after cut %lld ms, bytes a daemon %.0f mean %.0f greatest, %d readers "
+                "(seed %llu)\n",
                 name,
                 plan.daemons,
                 result.reached,
--- a/Benchmarks/SpreadModel.cpp
+++ b/Benchmarks/SpreadModel.cpp
@@ -131,7 +131,10 @@
         }
     }
 
-    void push(TimePoint due, int from, int to, MessageKind kind, std::uint64_t revision) { m_messages.push({due, ++m_order, from, to, kind, revision}); }
+    void push(TimePoint due, int from, int to, MessageKind kind, std::uint64_t revision)
+    {
+        m_messages.push({due, ++m_order, from, to, kind, revision});
+    }
 
     Duration latency(int from, int to, double bytes)
     {
