LibCoordination: Admit requests up to half of their remaining time

Ruled out: the order of the queue (one class of work; shortest expected first equals first come) and the 2 s lag of the reports (the fixed-length queue ran with the same placement).

Change: expected wait and run may take half of the remaining time (usableDeadline = 0.5).

--- a/Libraries/LibCoordination/RequestPolicy.cpp
+++ b/Libraries/LibCoordination/RequestPolicy.cpp
@@ -146,7 +146,7 @@
         return Admission::QueueFull;
     const auto remaining = static_cast<double>((traits.deadline - now).count());
     const auto needed = expectedWait(queue) + expectedServiceTime(queue, traits.workClass);
-    if (remaining <= 0 || (queue.limits.shedsUnmeetable && !hasFreeSlot && needed > remaining))
+    if (remaining <= 0 || (queue.limits.shedsUnmeetable && !hasFreeSlot && needed > remaining * queue.limits.usableDeadline))
         return Admission::DeadlineUnmeetable;
     queue.waiting.push_back(traits);
     return Admission::Admitted;
--- a/Libraries/LibCoordination/RequestPolicy.h
+++ b/Libraries/LibCoordination/RequestPolicy.h
@@ -42,6 +42,9 @@
     QueueOrder order = QueueOrder::ShortestExpectedFirst;
     /// Whether a request that cannot start before its deadline is shed on arrival.
     bool shedsUnmeetable = true;
+    /// The part of a request's remaining time that its expected wait and run may take. The rest is for work that turns out
+    /// longer than expected, which near a full queue is about half of it.
+    double usableDeadline = 0.5;
     /// Slots that classes known to run long may not fill while others wait; 0 turns the reservation off.
     int slotsKeptForShortWork = 1;
     /// A class is long when its expected service time exceeds the mean by this factor.
