LibCoordination: Tell a peer what changed in the VM list instead of all of it

Cause: the slopes put a VM list of 3,950 machines at 490 kB.

Ruled out: batching the changes for a minute (a leaving target would get work for that long), and leaving the list to the platform alone (3,950 readers at each change against two thousand reads a second).

Change: a daemon keeps its last 8 lists and sends a peer that is behind the machines that differ; on any other base the whole list, as before.

--- a/Benchmarks/SlopesMain.cpp
+++ b/Benchmarks/SlopesMain.cpp
@@ -7,6 +7,7 @@
 #include "LibProtocol/ConfigurationText.h"
 #include "LibProtocol/DatagramCodec.h"
 #include "LibProtocol/IpPacket.h"
+#include "LibProtocol/PeerFrameCodec.h"
 #include "LibProtocol/VmListJson.h"
 #include "LibTransport/LwipConnection.h"
 #include "LibTransport/LwipStack.h"
@@ -161,6 +162,25 @@
     printSlope("VM list, by machines", "bytes", machines, [](double count) {
         return static_cast<double>(formatVmList(makeMachines(static_cast<int>(count), 620)).size());
     });
+    printSlope("a change of one machine, by machines", "bytes", machines, [](double count) {
+        const auto base = makeMachines(static_cast<int>(count), 620);
+        auto next = base;
+        next.version = 2;
+        next.machines[1].state = VmState::Leaving;
+        const auto change = changeBetween(base, next);
+        return static_cast<double>(encodePeerFrame(VmListChangeText {1, formatChangedMachines(change), change.removed}).size());
+    });
+    printSlope("finding that change, by machines", "ns", machines, [](double count) {
+        const auto base = makeMachines(static_cast<int>(count), 620);
+        auto next = base;
+        next.version = 2;
+        return nanosecondsPerCall(5, [&] { (void)changeBetween(base, next); });
+    });
+    printSlope("applying that change, by machines", "ns", machines, [](double count) {
+        const auto base = makeMachines(static_cast<int>(count), 620);
+        const VmListChange change {1, 2, {base.machines[1]}, {}};
+        return nanosecondsPerCall(5, [&] { (void)formatVmList(*applyChange(base, change)); });
+    });
     printSlope("parsing a VM list, by machines", "ns", machines, [](double count) {
         const auto text = formatVmList(makeMachines(static_cast<int>(count), 620));
         return nanosecondsPerCall(3, [&] { (void)parseVmList(text); });
--- a/Libraries/Generated/PeerFrame_generated.h
+++ b/Libraries/Generated/PeerFrame_generated.h
@@ -25,6 +25,9 @@
 struct VmListText;
 struct VmListTextBuilder;
 
+struct VmListChangeText;
+struct VmListChangeTextBuilder;
+
 struct PeerFrame;
 struct PeerFrameBuilder;
 
@@ -33,33 +36,36 @@
   Digest = 1,
   ConfigurationText = 2,
   VmListText = 3,
+  VmListChangeText = 4,
   MIN = NONE,
-  MAX = VmListText
+  MAX = VmListChangeText
 };
 
-inline const PeerBody (&EnumValuesPeerBody())[4] {
+inline const PeerBody (&EnumValuesPeerBody())[5] {
   static const PeerBody values[] = {
     PeerBody::NONE,
     PeerBody::Digest,
     PeerBody::ConfigurationText,
-    PeerBody::VmListText
+    PeerBody::VmListText,
+    PeerBody::VmListChangeText
   };
   return values;
 }
 
 inline const char * const *EnumNamesPeerBody() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "NONE",
     "Digest",
     "ConfigurationText",
     "VmListText",
+    "VmListChangeText",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePeerBody(PeerBody e) {
-  if (flatbuffers::IsOutRange(e, PeerBody::NONE, PeerBody::VmListText)) return "";
+  if (flatbuffers::IsOutRange(e, PeerBody::NONE, PeerBody::VmListChangeText)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPeerBody()[index];
 }
@@ -80,6 +86,10 @@
   static const PeerBody enum_value = PeerBody::VmListText;
 };
 
+template<> struct PeerBodyTraits<Papaya::Wire::VmListChangeText> {
+  static const PeerBody enum_value = PeerBody::VmListChangeText;
+};
+
 bool VerifyPeerBody(flatbuffers::Verifier &verifier, const void *obj, PeerBody type);
 bool VerifyPeerBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<PeerBody> *types);
 
@@ -261,6 +271,85 @@
       text__);
 }
 
+/// What changed in the VM list since a version that the receiver has. `changed` is a VM list of the changed machines alone.
+struct VmListChangeText FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VmListChangeTextBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BASE_VERSION = 4,
+    VT_CHANGED = 6,
+    VT_REMOVED = 8
+  };
+  uint64_t base_version() const {
+    return GetField<uint64_t>(VT_BASE_VERSION, 0);
+  }
+  const flatbuffers::String *changed() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHANGED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_CHANGED) &&
+           verifier.VerifyString(changed()) &&
+           VerifyOffset(verifier, VT_REMOVED) &&
+           verifier.VerifyVector(removed()) &&
+           verifier.VerifyVectorOfStrings(removed()) &&
+           verifier.EndTable();
+  }
+};
+
+struct VmListChangeTextBuilder {
+  typedef VmListChangeText Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_base_version(uint64_t base_version) {
+    fbb_.AddElement<uint64_t>(VmListChangeText::VT_BASE_VERSION, base_version, 0);
+  }
+  void add_changed(flatbuffers::Offset<flatbuffers::String> changed) {
+    fbb_.AddOffset(VmListChangeText::VT_CHANGED, changed);
+  }
+  void add_removed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed) {
+    fbb_.AddOffset(VmListChangeText::VT_REMOVED, removed);
+  }
+  explicit VmListChangeTextBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VmListChangeText> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VmListChangeText>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VmListChangeText> CreateVmListChangeText(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t base_version = 0,
+    flatbuffers::Offset<flatbuffers::String> changed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0) {
+  VmListChangeTextBuilder builder_(_fbb);
+  builder_.add_base_version(base_version);
+  builder_.add_removed(removed);
+  builder_.add_changed(changed);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<VmListChangeText> CreateVmListChangeTextDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t base_version = 0,
+    const char *changed = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr) {
+  auto changed__ = changed ? _fbb.CreateString(changed) : 0;
+  auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
+  return Papaya::Wire::CreateVmListChangeText(
+      _fbb,
+      base_version,
+      changed__,
+      removed__);
+}
+
 struct PeerFrame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerFrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -283,6 +372,9 @@
   const Papaya::Wire::VmListText *body_as_VmListText() const {
     return body_type() == Papaya::Wire::PeerBody::VmListText ? static_cast<const Papaya::Wire::VmListText *>(body()) : nullptr;
   }
+  const Papaya::Wire::VmListChangeText *body_as_VmListChangeText() const {
+    return body_type() == Papaya::Wire::PeerBody::VmListChangeText ? static_cast<const Papaya::Wire::VmListChangeText *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -304,6 +396,10 @@
   return body_as_VmListText();
 }
 
+template<> inline const Papaya::Wire::VmListChangeText *PeerFrame::body_as<Papaya::Wire::VmListChangeText>() const {
+  return body_as_VmListChangeText();
+}
+
 struct PeerFrameBuilder {
   typedef PeerFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -352,6 +448,10 @@
       auto ptr = reinterpret_cast<const Papaya::Wire::VmListText *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case PeerBody::VmListChangeText: {
+      auto ptr = reinterpret_cast<const Papaya::Wire::VmListChangeText *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibProtocol/PeerFrameCodec.cpp
+++ b/Libraries/LibProtocol/PeerFrameCodec.cpp
@@ -26,11 +26,28 @@
     return Wire::CreateVmListText(builder, text).Union();
 }
 
+Offset write(Builder &builder, const VmListChangeText &message)
+{
+    const auto changed = builder.CreateString(message.changed);
+    const auto removed = builder.CreateVectorOfStrings(message.removed);
+    return Wire::CreateVmListChangeText(builder, message.baseVersion, changed, removed).Union();
+}
+
 std::string readString(const flatbuffers::String *text)
 {
     return text == nullptr ? std::string() : text->str();
 }
 
+VmListChangeText readChange(const Wire::VmListChangeText &wire)
+{
+    VmListChangeText message {wire.base_version(), readString(wire.changed()), {}};
+    if (wire.removed() == nullptr)
+        return message;
+    for (const auto *name : *wire.removed())
+        message.removed.push_back(readString(name));
+    return message;
+}
+
 } // namespace
 
 std::vector<std::byte> encodePeerFrame(const PeerMessage &message)
@@ -65,6 +82,8 @@
     }
     case Wire::PeerBody::VmListText:
         return PeerMessage {VmListText {readString(root->body_as_VmListText()->text())}};
+    case Wire::PeerBody::VmListChangeText:
+        return PeerMessage {readChange(*root->body_as_VmListChangeText())};
     case Wire::PeerBody::NONE:
         break;
     }
--- a/Libraries/LibProtocol/PeerFrameCodec.h
+++ b/Libraries/LibProtocol/PeerFrameCodec.h
@@ -28,8 +28,17 @@
     bool operator==(const VmListText &) const = default;
 };
 
+/// What changed in the VM list. `changed` is a VM list, as text, of the changed machines alone, under the new version.
+struct VmListChangeText {
+    std::uint64_t baseVersion = 0;
+    std::string changed;
+    std::vector<std::string> removed;
+
+    bool operator==(const VmListChangeText &) const = default;
+};
+
 /// Everything that daemons send one another on TCP connections.
-using PeerMessage = std::variant<Digest, RevisionedText, VmListText>;
+using PeerMessage = std::variant<Digest, RevisionedText, VmListText, VmListChangeText>;
 
 /// Encodes the body of one frame; the length prefix is the transport's.
 [[nodiscard]] std::vector<std::byte> encodePeerFrame(const PeerMessage &message);
--- a/Libraries/LibProtocol/VmListJson.cpp
+++ b/Libraries/LibProtocol/VmListJson.cpp
@@ -67,6 +67,17 @@
     return list;
 }
 
+Result<VmListChange> parseVmListChange(std::uint64_t baseVersion, std::string_view changed, std::vector<std::string> removed)
+{
+    BOOST_OUTCOME_TRY(list, parseVmList(changed));
+    return VmListChange {baseVersion, list.version, std::move(list.machines), std::move(removed)};
+}
+
+std::string formatChangedMachines(const VmListChange &change)
+{
+    return formatVmList({change.version, change.changed});
+}
+
 std::string formatVmList(const VmList &list)
 {
     Json root;
--- a/Libraries/LibTransport/DaemonMessages.h
+++ b/Libraries/LibTransport/DaemonMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCoordination/RevisionDecision.h"
+#include "LibCoordination/VmListChange.h"
 #include "LibState/Configuration.h"
 #include "LibState/VmList.h"
 
@@ -39,6 +40,11 @@
     RevisionSource source = RevisionSource::Platform;
 };
 
+/// A change of the VM list that a peer offers.
+struct OfferVmListChange {
+    VmListChange change;
+};
+
 /// A peer said which revision it has in force.
 struct PeerHasRevision {
     std::uint64_t revision = 0;
@@ -92,6 +98,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::SubscribeToKnowledge)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::OfferConfiguration)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::OfferVmList)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::OfferVmListChange)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::PeerHasRevision)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::ConfigurationInForce)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::VmListInForce)
--- a/Libraries/LibTransport/KnowledgeTask.cpp
+++ b/Libraries/LibTransport/KnowledgeTask.cpp
@@ -34,6 +34,7 @@
         },
         [this](const OfferConfiguration &offer) { considerConfiguration(offer); },
         [this](const OfferVmList &offer) { considerVmList(offer); },
+        [this](const OfferVmListChange &offer) { considerVmListChange(offer.change); },
         [this](const PeerHasRevision &peer) {
             notePeerRevision(m_revisions, peer.revision);
             reconsiderDeferred();
@@ -89,8 +90,23 @@
     }
     if (m_machines && parsed.value().version <= m_machines->list->version)
         return;
-    EventLog("vm_list_in_force").with("version", parsed.value().version).with("source", sourceName(offer.source));
-    m_machines = VmListInForce {std::make_shared<const VmList>(std::move(parsed.value())), std::make_shared<const std::string>(offer.text)};
+    acceptVmList(std::move(parsed.value()), offer.text, offer.source);
+}
+
+void KnowledgeTask::considerVmListChange(const VmListChange &change)
+{
+    // A change on another base is no failure: the next digest tells the peer what this daemon has.
+    auto next = m_machines ? applyChange(*m_machines->list, change) : std::nullopt;
+    if (!next)
+        return;
+    auto text = formatVmList(*next);
+    acceptVmList(std::move(*next), std::move(text), RevisionSource::Peer);
+}
+
+void KnowledgeTask::acceptVmList(VmList list, std::string text, RevisionSource source)
+{
+    EventLog("vm_list_in_force").with("version", list.version).with("source", sourceName(source));
+    m_machines = VmListInForce {std::make_shared<const VmList>(std::move(list)), std::make_shared<const std::string>(std::move(text))};
     for (const auto &subscriber : m_subscribers)
         send(subscriber, *m_machines);
 }
--- a/Libraries/LibTransport/KnowledgeTask.h
+++ b/Libraries/LibTransport/KnowledgeTask.h
@@ -20,6 +20,8 @@
     void considerConfiguration(const OfferConfiguration &offer);
     void acceptConfiguration(const OfferConfiguration &offer, Configuration configuration);
     void considerVmList(const OfferVmList &offer);
+    void considerVmListChange(const VmListChange &change);
+    void acceptVmList(VmList list, std::string text, RevisionSource source);
     void reconsiderDeferred();
 
     RevisionState m_revisions;
--- a/Libraries/LibTransport/PeerTask.cpp
+++ b/Libraries/LibTransport/PeerTask.cpp
@@ -1,6 +1,7 @@
 #include "LibTransport/PeerTask.h"
 
 #include "LibCoordination/PeerSelection.h"
+#include "LibProtocol/VmListJson.h"
 #include "LibState/FlowKey.h"
 #include "LibTransport/EventLog.h"
 #include "LibTransport/MonotonicClock.h"
@@ -63,6 +64,7 @@
             },
             [&](const VmListInForce &inForce) {
                 m_machines = inForce;
+                m_history.add(*inForce.list);
                 m_wanted.clear();
                 for (const auto &machine : selectPeers(inForce.list->machines, m_self, PeerLimits {}))
                     m_wanted.push_back(machine.daemon);
@@ -133,6 +135,17 @@
         send(m_knowledge, OfferConfiguration {*text, RevisionSource::Peer});
     else if (const auto *machines = std::get_if<VmListText>(&message.value()))
         send(m_knowledge, OfferVmList {machines->text, RevisionSource::Peer});
+    else if (const auto *change = std::get_if<VmListChangeText>(&message.value()))
+        return offerChange(*change);
+    return true;
+}
+
+bool PeerTask::offerChange(const VmListChangeText &text)
+{
+    auto change = parseVmListChange(text.baseVersion, text.changed, text.removed);
+    if (change.has_error())
+        return false;
+    send(m_knowledge, OfferVmListChange {std::move(change.value())});
     return true;
 }
 
@@ -143,7 +156,7 @@
     if (own.configurationRevision > digest.configurationRevision)
         peer.channel.send(encodePeerFrame(*m_configuration->text));
     if (own.vmListVersion > digest.vmListVersion)
-        peer.channel.send(encodePeerFrame(VmListText {*m_machines->text}));
+        sendVmList(peer, digest.vmListVersion);
     if (isWorthAsking(own, digest))
         sendDigest(peer);
     const bool isConflict = own.configurationRevision == digest.configurationRevision && own.configurationHash != digest.configurationHash;
@@ -151,6 +164,15 @@
         EventLog("configuration_conflict", LogLevel::Error).with("revision", own.configurationRevision);
 }
 
+void PeerTask::sendVmList(Peer &peer, std::uint64_t theirVersion)
+{
+    const auto change = m_history.changeSince(theirVersion);
+    if (change)
+        peer.channel.send(encodePeerFrame(VmListChangeText {change->baseVersion, formatChangedMachines(*change), change->removed}));
+    else
+        peer.channel.send(encodePeerFrame(VmListText {*m_machines->text}));
+}
+
 /// Returns whether to tell a peer that is ahead that this daemon is behind, which makes the peer send what is missing. One peer
 /// is asked at a time, so that a text does not come from all of them.
 bool PeerTask::isWorthAsking(const Digest &own, const Digest &theirs)
--- a/Libraries/LibTransport/PeerTask.h
+++ b/Libraries/LibTransport/PeerTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCoordination/VmListChange.h"
 #include "LibProtocol/PeerFrameCodec.h"
 #include "LibTransport/DaemonMessages.h"
 #include "LibTransport/EventPoll.h"
@@ -34,8 +35,11 @@
     void addPeer(FileDescriptor stream, std::optional<Endpoint> address);
     void pumpPeer(std::uint64_t token);
     [[nodiscard]] bool handleFrame(Peer &peer, std::span<const std::byte> frame);
+    /// Hands a change to the knowledge task. Returns whether it was well-formed.
+    [[nodiscard]] bool offerChange(const VmListChangeText &text);
     void handleDigest(Peer &peer, const Digest &digest);
     [[nodiscard]] bool isWorthAsking(const Digest &own, const Digest &theirs);
+    void sendVmList(Peer &peer, std::uint64_t theirVersion);
     void sendDigest(Peer &peer);
     void announceToAll();
     [[nodiscard]] Digest ownDigest() const;
@@ -49,6 +53,7 @@
     std::uint64_t m_nextToken = 1;
     std::optional<ConfigurationInForce> m_configuration;
     std::optional<VmListInForce> m_machines;
+    VmListHistory m_history;
     TimePoint m_connectedAt;
     TimePoint m_digestAt;
     TimePoint m_askedAt;
--- a/Tests/LibCoordination/TestFlowDecisions.cpp
+++ b/Tests/LibCoordination/TestFlowDecisions.cpp
@@ -48,7 +48,7 @@
     return {Flow, 101, acknowledgement, false, false, true};
 }
 
-template<typename Alternative>
+template <typename Alternative>
 std::vector<Alternative> effectsOf(const Effects &effects)
 {
     std::vector<Alternative> found;
@@ -165,7 +165,8 @@
     // The verdict answers the next packet at once, and is forgotten after a while.
     EXPECT_EQ(effectsOf<SendReset>(onEnvelope(agent, envelopeWith(0), ackSegment(1), Start + Duration(1'500))).size(), 1U);
     (void)onTick(agent, Start + agent.limits.unownedTime);
-    EXPECT_EQ(reasonOf(onEnvelope(agent, envelopeWith(0), ackSegment(1), Start + agent.limits.unownedTime)), PlacementReason::LocateStarted);
+    EXPECT_EQ(reasonOf(onEnvelope(agent, envelopeWith(0), ackSegment(1), Start + agent.limits.unownedTime)),
+              PlacementReason::LocateStarted);
 }
 
 TEST(FlowDecisions, WaitsForAMemberThatIsSilentUntilItsLeaseRanOut)
--- a/Tests/LibProtocol/TestCodecs.cpp
+++ b/Tests/LibProtocol/TestCodecs.cpp
@@ -34,7 +34,10 @@
 
 std::vector<PeerMessage> samplePeerMessages()
 {
-    return {Digest {1, 2, 3}, RevisionedText {4, "[service a]\n"}, VmListText {R"({"version":1,"vms":[]})"}};
+    return {Digest {1, 2, 3},
+            RevisionedText {4, "[service a]\n"},
+            VmListText {R"({"version":1,"vms":[]})"},
+            VmListChangeText {1, R"({"version":2,"vms":[]})", {"a", "b"}}};
 }
 
 /// Changes, cuts or lengthens a buffer at random.
