--- a/Benchmarks/MeasuresMain.cpp
+++ b/Benchmarks/MeasuresMain.cpp
@@ -29,7 +29,7 @@
 
     void add(const std::string &deployment, const std::string &measure, std::string_view baseline, double figure, const std::string &bound)
     {
-        std::printf("%-16s %-38s %-26.*s %10.4g  %s\n",
+        std::printf("%-16s %-42s %-26.*s %10.4g  %s\n",
                     deployment.c_str(),
                     measure.c_str(),
                     static_cast<int>(baseline.size()),
@@ -64,12 +64,12 @@
         auto plan = basePlan(slots);
         plan.placement = placement;
         const auto outcome = runRequests(plan);
-        table.add(deployment, "imbalance, 70% load", policyName(placement), outcome.imbalance, "1.25");
-        table.add(deployment, "in time, of offered, 70% load", policyName(placement), outcome.answeredInTime / outcome.offered, "");
+        table.add(deployment, "imbalance at 70% load", policyName(placement), outcome.imbalance, "1.25");
+        table.add(deployment, "answered in time of offered at 70% load", policyName(placement), outcome.answeredInTime / outcome.offered, "");
         if (placement == PlacementPolicy::Protocol)
             table.add(deployment, "mean hops of a new flow", policyName(placement), outcome.meanHops, "1.2");
         plan.hasLyingTarget = true;
-        table.add(deployment, "imbalance, slowest target lies", policyName(placement), runRequests(plan).imbalance, "1.25");
+        table.add(deployment, "imbalance while the slowest target lies", policyName(placement), runRequests(plan).imbalance, "1.25");
     }
 }
 
@@ -99,8 +99,8 @@
         plan.stragglerFraction = 0.01;
         const auto with = runRequests(plan);
         table.add(deployment, "short work p99 without stragglers", policyName(queue), without.percentile99, "");
-        table.add(deployment, "short work p99 ratio, 1% stragglers", policyName(queue), with.percentile99 / without.percentile99, "2");
-        table.add(deployment, "short work p99.9 ratio, 1% stragglers", policyName(queue), with.percentile999 / without.percentile999, "2");
+        table.add(deployment, "short work p99 ratio with 1% stragglers", policyName(queue), with.percentile99 / without.percentile99, "2");
+        table.add(deployment, "short work p99.9 ratio with 1% stragglers", policyName(queue), with.percentile999 / without.percentile999, "2");
     }
 }
 
@@ -133,8 +133,8 @@
         movedByModulo += key % 7 != key % 8 ? 1 : 0;
         movedByRank += rendezvousFirst(before, key) != rendezvousFirst(targets, key) ? 1 : 0;
     }
-    table.add("both", "moved flows per million, 7 to 8", "modulo", 1e6 * movedByModulo / Flows, "");
-    table.add("both", "moved flows per million, 7 to 8", "rendezvous", 1e6 * movedByRank / Flows, "125000 (1/n)");
+    table.add("both", "moved flows per million from 7 to 8", "modulo", 1e6 * movedByModulo / Flows, "");
+    table.add("both", "moved flows per million from 7 to 8", "rendezvous", 1e6 * movedByRank / Flows, "125000 (1/n)");
 }
 
 } // namespace
--- a/Benchmarks/SlopesMain.cpp
+++ b/Benchmarks/SlopesMain.cpp
@@ -211,7 +211,7 @@
         const auto routing = buildRoutingTable(configuration, membersOfServices(table, configuration, Start));
         return heapBytes() - before;
     });
-    printSlope("an entry daemon's unobserved agents, by machines", "ns", {494, 988, 1'975}, [](double count) {
+    printSlope("an entry daemon's unobserved agents, by machines", "ns", machines, [](double count) {
         const auto list = makeMachines(static_cast<int>(count), 620);
         return nanosecondsPerCall(1, [&] { (void)unobservedBy(list.machines, "vm-0", PeerLimits {}); });
     });
--- a/Libraries/LibTransport/PlatformTask.cpp
+++ b/Libraries/LibTransport/PlatformTask.cpp
@@ -1,6 +1,7 @@
 #include "LibTransport/PlatformTask.h"
 
 #include "LibCoordination/PeerSelection.h"
+#include "LibCoordination/RetryPause.h"
 #include "LibState/FlowKey.h"
 #include "LibTransport/EventLog.h"
 
@@ -16,9 +17,6 @@
 constexpr std::chrono::milliseconds HoldTime {10'000};
 constexpr std::chrono::seconds ReadTimeout {13};
 constexpr std::chrono::seconds ConnectTimeout {2};
-/// The pause after a failed read; spread by name, so that a failure domain that starts does not read in step.
-constexpr Duration RetryPause {500};
-constexpr Duration RetrySpread {500};
 /// How often a daemon that learns from peers reads all the same, in case all its readers are wrong.
 constexpr Duration BackstopInterval {60'000};
 
@@ -63,7 +61,6 @@
 
 Duration PlatformTask::poll()
 {
-    const auto spread = Duration(static_cast<Duration::rep>(hashOf(m_self) % static_cast<std::uint64_t>(RetrySpread.count())));
     httplib::Client client(hostOf(m_platform), m_platform.port);
     client.set_connection_timeout(ConnectTimeout);
     client.set_read_timeout(ReadTimeout);
@@ -74,7 +71,8 @@
             .with("address", toString(m_platform));
     m_wasReachable = isReachable;
     if (!isReachable)
-        return RetryPause + spread;
+        return retryPause(++m_failures, hashOf(m_self));
+    m_failures = 0;
     if (response->status == 200)
         offer(parseVersion(response->get_header_value("Version")), response->body);
     return Duration(0);
--- a/Libraries/LibTransport/PlatformTask.h
+++ b/Libraries/LibTransport/PlatformTask.h
@@ -36,6 +36,7 @@
     bool m_isReader = true;
     bool m_isStopped = false;
     bool m_wasReachable = true;
+    int m_failures = 0;
 };
 
 } // namespace Papaya
