--- a/Benchmarks/BenchRelay.cpp
+++ b/Benchmarks/BenchRelay.cpp
@@ -35,7 +35,7 @@
     std::vector<std::byte> packet = makeProbe({ServiceAddress, {0x0a630001, 4'711}}, 1);
 
     /// Sends one batch, relays it by `forward` and receives it.
-    template<typename Forward>
+    template <typename Forward>
     void carryBatch(Forward forward)
     {
         for (int index = 0; index < BatchSize; ++index)
--- a/Libraries/LibCoordination/FlowProtocol.h
+++ b/Libraries/LibCoordination/FlowProtocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCoordination/FlowMessages.h"
+#include "LibCoordination/PlacementReason.h"
 #include "LibState/FlowTable.h"
 
 #include <functional>
@@ -93,33 +94,6 @@
     std::vector<std::pair<MemberId, FlowKey>> released;
 };
 
-/// Why a packet was treated the way it was.
-enum class PlacementReason {
-    Owned,
-    Taken,
-    TakenAtLastHop,
-    HandedOn,
-    DirectoryOwner,
-    LocateStarted,
-    LocateHeld,
-    LocateFound,
-    NobodyOwns,
-    ForeignHandshake,
-    WrongService,
-    UnknownAddress,
-    RevisionBehind,
-    HopLimit,
-    ConnectionLimit,
-    TargetDown,
-    Leaving,
-    TableFull,
-    StrayReset,
-    ProbeLostOwner,
-};
-
-/// Returns the stable name of a reason for logs and counters.
-[[nodiscard]] std::string_view placementReasonName(PlacementReason reason);
-
 /// Send a message to another daemon.
 struct SendMessage {
     Endpoint to;
@@ -157,6 +131,12 @@
 using Effect = std::variant<SendMessage, DeliverPacket, SendReset, SendProbe, ForgetFlow, NoteDecision>;
 using Effects = std::vector<Effect>;
 
+/// Returns a member by its id; nothing when the list does not have it.
+[[nodiscard]] const Member *findMember(const AgentFlows &agent, MemberId id);
+
+/// Removes an owned flow and notes that its witness has to be told.
+void eraseOwned(AgentFlows &agent, FlowTable::iterator flow);
+
 /// Handles one packet that arrived in an envelope. `segment` was read from the envelope's packet.
 [[nodiscard]] Effects onEnvelope(AgentFlows &agent, const Envelope &envelope, const SegmentSummary &segment, TimePoint now);
 
@@ -187,7 +167,4 @@
 /// Returns the member that has to know of a flow owned by `owner`: the first-ranked eligible one other than the owner; 0 if none.
 [[nodiscard]] MemberId witnessOf(const AgentFlows &agent, MemberId owner, const FlowKey &flow);
 
-/// Returns whether this agent would take a new flow at this hop by its own load and the members' reports.
-[[nodiscard]] PlacementReason decideNewFlow(const AgentFlows &agent, std::uint8_t hops);
-
 } // namespace Papaya
--- a/Services/TargetAgent/FlowTask.cpp
+++ b/Services/TargetAgent/FlowTask.cpp
@@ -1,5 +1,6 @@
 #include "FlowTask.h"
 
+#include "LibCoordination/FlowPlacement.h"
 #include "LibCoordination/PeerSelection.h"
 #include "LibCoordination/RendezvousHash.h"
 #include "LibProtocol/DatagramCodec.h"
