TargetAgent: Stay until no handshake and no unacknowledged answer is left

A stopping agent ended when no connection was open, though a handshake that it had answered before the stop was still under way (or an answer's last bytes were not acknowledged).

Ruled out: the queue of requests (it is looked at) and the entry daemons (they were not stopped).

Change: the agent also waits for lwIP's active list, which has handshakes and closing connections, and stays two seconds at least.

--- a/Libraries/LibTransport/LwipStack.cpp
+++ b/Libraries/LibTransport/LwipStack.cpp
@@ -183,6 +183,14 @@
     }
 }
 
+std::size_t LwipStack::activeConnectionCount() const
+{
+    std::size_t count = 0;
+    for (const auto *pcb = tcp_active_pcbs; pcb != nullptr; pcb = pcb->next)
+        ++count;
+    return count;
+}
+
 std::vector<std::unique_ptr<LwipConnection>> LwipStack::takeAccepted()
 {
     return std::exchange(m_accepted, {});
--- a/Libraries/LibTransport/LwipStack.h
+++ b/Libraries/LibTransport/LwipStack.h
@@ -53,6 +53,10 @@
     /// Drops the connection of a flow without a word to the caller.
     void forget(const FlowKey &flow);
 
+    /// Returns how many connections the stack still works on: handshakes under way, open ones, and closed ones whose last bytes
+    /// are not acknowledged yet.
+    [[nodiscard]] std::size_t activeConnectionCount() const;
+
     /// Returns the connections that were accepted since the last call.
     [[nodiscard]] std::vector<std::unique_ptr<LwipConnection>> takeAccepted();
 
--- a/Services/TargetAgent/FlowTask.cpp
+++ b/Services/TargetAgent/FlowTask.cpp
@@ -27,6 +27,8 @@
 constexpr Duration HeartbeatInterval {500};
 constexpr Duration TargetCheckInterval {1'000};
 constexpr Duration TargetCheckTimeout {2'000};
+/// The time for which a stopping agent stays at least, so that all who send it new flows have heard that it leaves.
+constexpr Duration StopDelay {2'000};
 constexpr int PacketLinesPerSecond = 5;
 constexpr int PlacementLinesPerSecond = 200;
 
@@ -99,7 +101,10 @@
                 [&](const VmListInForce &inForce) { takeMachines(*inForce.list); },
                 [&](AskStatus) { return report(); },
                 [&](const AskExplain &question) { return explain(question.flow); },
-                [&](Stop) { m_isStopping = true; });
+                [&](Stop) {
+                    m_isStopping = true;
+                    m_stopAt = currentTime() + StopDelay;
+                });
     }
 }
 
@@ -339,7 +344,7 @@
     if (const auto suppressed = m_packetLines.takeSuppressed() + m_placementLines.takeSuppressed();
         suppressed > 0 && m_packetLines.take(now))
         EventLog("packet_lines_suppressed").with("count", suppressed);
-    if (m_isStopping && hasNothingLeft())
+    if (m_isStopping && now >= m_stopAt && hasNothingLeft())
         m_isStopped = true;
 }
 
@@ -450,7 +455,8 @@
 
 bool FlowTask::hasNothingLeft() const
 {
-    return connectionCount() == 0 && m_engine->isIdle();
+    // Handshakes under way and answers that are not acknowledged yet would be cut as well.
+    return connectionCount() == 0 && m_engine->isIdle() && m_stack->activeConnectionCount() == 0;
 }
 
 std::size_t FlowTask::connectionCount() const
--- a/Services/TargetAgent/FlowTask.h
+++ b/Services/TargetAgent/FlowTask.h
@@ -90,6 +90,7 @@
     TimePoint m_heartbeatAt;
     bool m_isTargetKnownUp = false;
     bool m_isStopping = false;
+    TimePoint m_stopAt;
     bool m_isStopped = false;
 };
 
