LibCoordination: Keep probing after a restarted owner denied the flow

The restarted owner answered the search that it does not own the flow, which erased the witness's entry and with it the four probes still due; the one reset that was sent was lost.

Ruled out: the loss alone (five probes 800 ms apart make it improbable).

Change: an entry that is being probed stays. The seeds that once showed a fault (67, 72, 91, 138, 197) are tests now.

--- a/Libraries/LibCoordination/FlowProtocol.cpp
+++ b/Libraries/LibCoordination/FlowProtocol.cpp
@@ -216,7 +216,8 @@
     const auto pending = agent.locates.find(reply.flow);
     if (!reply.isFound) {
         const auto entry = agent.directory.find(reply.flow);
-        if (entry != agent.directory.end() && entry->second.owner == reply.sender)
+        // An entry whose owner is lost stays until all its probes were sent.
+        if (entry != agent.directory.end() && entry->second.owner == reply.sender && entry->second.probesSent == 0)
             agent.directory.erase(entry);
         if (pending == agent.locates.end())
             return effects;
--- a/Tests/LibCoordination/TestFlowProtocol.cpp
+++ b/Tests/LibCoordination/TestFlowProtocol.cpp
@@ -176,6 +176,9 @@
     EXPECT_LT(meanHops(true), 1.2);
 }
 
+// Seeds beyond the range that once showed a fault.
+INSTANTIATE_TEST_SUITE_P(FoundSeeds, FlowProtocolSeeds, testing::Values(67, 72, 91, 138, 197));
+
 INSTANTIATE_TEST_SUITE_P(Seeds, FlowProtocolSeeds, testing::Range(1, SeedCount + 1));
 
 } // namespace Papaya
