TargetAgent: Look again at ended streams when the target turns out to be down

Cause: one of four runs of all tests failed Connections.AKilledTargetBreaksOnlyItsOwn: flows were open 5 s after the kill.

--- a/Libraries/LibTransport/StreamBridge.h
+++ b/Libraries/LibTransport/StreamBridge.h
@@ -37,6 +37,8 @@
 
     /// Whether the kernel side ended and that end waits to be confirmed.
     [[nodiscard]] bool awaitsConfirmation() const { return m_hasStreamEnded && !m_isEndConfirmed; }
+    /// Whether the kernel side sent its last byte.
+    [[nodiscard]] bool hasStreamEnded() const { return m_hasStreamEnded; }
     /// Confirms that the kernel side ended because its program meant it to.
     void confirmEnd() { m_isEndConfirmed = true; }
     /// Resets both sides. The bridge is over then.
--- a/Services/TargetAgent/FlowTask.cpp
+++ b/Services/TargetAgent/FlowTask.cpp
@@ -429,6 +429,13 @@
 
 void FlowTask::concludeStreamEnds(bool isTargetUp)
 {
+    if (!isTargetUp) {
+        // A dying target may still take the connection that confirmed an end, so ends of before are looked at again.
+        for (const auto &[token, bridge] : m_bridges) {
+            if (bridge->hasStreamEnded())
+                m_endsUnderCheck.push_back(token);
+        }
+    }
     for (const auto token : std::exchange(m_endsUnderCheck, {})) {
         const auto found = m_bridges.find(token);
         if (found == m_bridges.end())
