--- a/Libraries/Generated/Relay_generated.h
+++ b/Libraries/Generated/Relay_generated.h
@@ -18,6 +18,10 @@
 
 struct Address;
 
+struct Flow;
+
+struct Finding;
+
 struct Load;
 
 struct Envelope;
@@ -29,6 +33,12 @@
 struct Report;
 struct ReportBuilder;
 
+struct Query;
+struct QueryBuilder;
+
+struct Answer;
+struct AnswerBuilder;
+
 struct RelayDatagram;
 struct RelayDatagramBuilder;
 
@@ -37,33 +47,39 @@
   Envelope = 1,
   Notice = 2,
   Report = 3,
+  Query = 4,
+  Answer = 5,
   MIN = NONE,
-  MAX = Report
+  MAX = Answer
 };
 
-inline const Message (&EnumValuesMessage())[4] {
+inline const Message (&EnumValuesMessage())[6] {
   static const Message values[] = {
     Message::NONE,
     Message::Envelope,
     Message::Notice,
-    Message::Report
+    Message::Report,
+    Message::Query,
+    Message::Answer
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[5] = {
+  static const char * const names[7] = {
     "NONE",
     "Envelope",
     "Notice",
     "Report",
+    "Query",
+    "Answer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Report)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Answer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -84,6 +100,14 @@
   static const Message enum_value = Message::Report;
 };
 
+template<> struct MessageTraits<Papaya::RelayWire::Query> {
+  static const Message enum_value = Message::Query;
+};
+
+template<> struct MessageTraits<Papaya::RelayWire::Answer> {
+  static const Message enum_value = Message::Answer;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -115,6 +139,61 @@
 };
 FLATBUFFERS_STRUCT_END(Address, 8);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Flow FLATBUFFERS_FINAL_CLASS {
+ private:
+  Papaya::RelayWire::Address caller_;
+  Papaya::RelayWire::Address service_;
+
+ public:
+  Flow()
+      : caller_(),
+        service_() {
+  }
+  Flow(const Papaya::RelayWire::Address &_caller, const Papaya::RelayWire::Address &_service)
+      : caller_(_caller),
+        service_(_service) {
+  }
+  const Papaya::RelayWire::Address &caller() const {
+    return caller_;
+  }
+  const Papaya::RelayWire::Address &service() const {
+    return service_;
+  }
+};
+FLATBUFFERS_STRUCT_END(Flow, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Finding FLATBUFFERS_FINAL_CLASS {
+ private:
+  Papaya::RelayWire::Flow flow_;
+  uint8_t verdict_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  Finding()
+      : flow_(),
+        verdict_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  Finding(const Papaya::RelayWire::Flow &_flow, uint8_t _verdict)
+      : flow_(_flow),
+        verdict_(flatbuffers::EndianScalar(_verdict)),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  const Papaya::RelayWire::Flow &flow() const {
+    return flow_;
+  }
+  uint8_t verdict() const {
+    return flatbuffers::EndianScalar(verdict_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Finding, 20);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Load FLATBUFFERS_FINAL_CLASS {
  private:
   uint32_t open_flows_;
@@ -165,7 +244,8 @@
     VT_SERVICE = 4,
     VT_PURPOSE = 6,
     VT_PACKET = 8,
-    VT_BUSY_FROM = 10
+    VT_BUSY_FROM = 10,
+    VT_TARGET_RUN = 12
   };
   uint64_t service() const {
     return GetField<uint64_t>(VT_SERVICE, 0);
@@ -179,6 +259,9 @@
   uint32_t busy_from() const {
     return GetField<uint32_t>(VT_BUSY_FROM, 0);
   }
+  uint64_t target_run() const {
+    return GetField<uint64_t>(VT_TARGET_RUN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
@@ -186,6 +269,7 @@
            VerifyOffset(verifier, VT_PACKET) &&
            verifier.VerifyVector(packet()) &&
            VerifyField<uint32_t>(verifier, VT_BUSY_FROM, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET_RUN, 8) &&
            verifier.EndTable();
   }
 };
@@ -206,6 +290,9 @@
   void add_busy_from(uint32_t busy_from) {
     fbb_.AddElement<uint32_t>(Envelope::VT_BUSY_FROM, busy_from, 0);
   }
+  void add_target_run(uint64_t target_run) {
+    fbb_.AddElement<uint64_t>(Envelope::VT_TARGET_RUN, target_run, 0);
+  }
   explicit EnvelopeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -222,8 +309,10 @@
     uint64_t service = 0,
     uint8_t purpose = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packet = 0,
-    uint32_t busy_from = 0) {
+    uint32_t busy_from = 0,
+    uint64_t target_run = 0) {
   EnvelopeBuilder builder_(_fbb);
+  builder_.add_target_run(target_run);
   builder_.add_service(service);
   builder_.add_busy_from(busy_from);
   builder_.add_packet(packet);
@@ -236,14 +325,16 @@
     uint64_t service = 0,
     uint8_t purpose = 0,
     const std::vector<uint8_t> *packet = nullptr,
-    uint32_t busy_from = 0) {
+    uint32_t busy_from = 0,
+    uint64_t target_run = 0) {
   auto packet__ = packet ? _fbb.CreateVector<uint8_t>(*packet) : 0;
   return Papaya::RelayWire::CreateEnvelope(
       _fbb,
       service,
       purpose,
       packet__,
-      busy_from);
+      busy_from,
+      target_run);
 }
 
 struct Notice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -420,6 +511,144 @@
   return builder_.Finish();
 }
 
+struct Query FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_FLOWS = 6
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  const flatbuffers::Vector<const Papaya::RelayWire::Flow *> *flows() const {
+    return GetPointer<const flatbuffers::Vector<const Papaya::RelayWire::Flow *> *>(VT_FLOWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyOffset(verifier, VT_FLOWS) &&
+           verifier.VerifyVector(flows()) &&
+           verifier.EndTable();
+  }
+};
+
+struct QueryBuilder {
+  typedef Query Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(Query::VT_SERVICE, service, 0);
+  }
+  void add_flows(flatbuffers::Offset<flatbuffers::Vector<const Papaya::RelayWire::Flow *>> flows) {
+    fbb_.AddOffset(Query::VT_FLOWS, flows);
+  }
+  explicit QueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Query> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Query>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Query> CreateQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Papaya::RelayWire::Flow *>> flows = 0) {
+  QueryBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_flows(flows);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Query> CreateQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    const std::vector<Papaya::RelayWire::Flow> *flows = nullptr) {
+  auto flows__ = flows ? _fbb.CreateVectorOfStructs<Papaya::RelayWire::Flow>(*flows) : 0;
+  return Papaya::RelayWire::CreateQuery(
+      _fbb,
+      service,
+      flows__);
+}
+
+struct Answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_LOAD = 6,
+    VT_FINDINGS = 8
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  const Papaya::RelayWire::Load *load() const {
+    return GetStruct<const Papaya::RelayWire::Load *>(VT_LOAD);
+  }
+  const flatbuffers::Vector<const Papaya::RelayWire::Finding *> *findings() const {
+    return GetPointer<const flatbuffers::Vector<const Papaya::RelayWire::Finding *> *>(VT_FINDINGS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<Papaya::RelayWire::Load>(verifier, VT_LOAD, 4) &&
+           VerifyOffset(verifier, VT_FINDINGS) &&
+           verifier.VerifyVector(findings()) &&
+           verifier.EndTable();
+  }
+};
+
+struct AnswerBuilder {
+  typedef Answer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(Answer::VT_SERVICE, service, 0);
+  }
+  void add_load(const Papaya::RelayWire::Load *load) {
+    fbb_.AddStruct(Answer::VT_LOAD, load);
+  }
+  void add_findings(flatbuffers::Offset<flatbuffers::Vector<const Papaya::RelayWire::Finding *>> findings) {
+    fbb_.AddOffset(Answer::VT_FINDINGS, findings);
+  }
+  explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Answer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Answer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Answer> CreateAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    const Papaya::RelayWire::Load *load = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<const Papaya::RelayWire::Finding *>> findings = 0) {
+  AnswerBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_findings(findings);
+  builder_.add_load(load);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Answer> CreateAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    const Papaya::RelayWire::Load *load = nullptr,
+    const std::vector<Papaya::RelayWire::Finding> *findings = nullptr) {
+  auto findings__ = findings ? _fbb.CreateVectorOfStructs<Papaya::RelayWire::Finding>(*findings) : 0;
+  return Papaya::RelayWire::CreateAnswer(
+      _fbb,
+      service,
+      load,
+      findings__);
+}
+
 struct RelayDatagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RelayDatagramBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -442,6 +671,12 @@
   const Papaya::RelayWire::Report *message_as_Report() const {
     return message_type() == Papaya::RelayWire::Message::Report ? static_cast<const Papaya::RelayWire::Report *>(message()) : nullptr;
   }
+  const Papaya::RelayWire::Query *message_as_Query() const {
+    return message_type() == Papaya::RelayWire::Message::Query ? static_cast<const Papaya::RelayWire::Query *>(message()) : nullptr;
+  }
+  const Papaya::RelayWire::Answer *message_as_Answer() const {
+    return message_type() == Papaya::RelayWire::Message::Answer ? static_cast<const Papaya::RelayWire::Answer *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -463,6 +698,14 @@
   return message_as_Report();
 }
 
+template<> inline const Papaya::RelayWire::Query *RelayDatagram::message_as<Papaya::RelayWire::Query>() const {
+  return message_as_Query();
+}
+
+template<> inline const Papaya::RelayWire::Answer *RelayDatagram::message_as<Papaya::RelayWire::Answer>() const {
+  return message_as_Answer();
+}
+
 struct RelayDatagramBuilder {
   typedef RelayDatagram Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -511,6 +754,14 @@
       auto ptr = reinterpret_cast<const Papaya::RelayWire::Report *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::Query: {
+      auto ptr = reinterpret_cast<const Papaya::RelayWire::Query *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::Answer: {
+      auto ptr = reinterpret_cast<const Papaya::RelayWire::Answer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -146,14 +146,23 @@
     passToTarget(agent, entry, summary, packet, now, output);
 }
 
-void onQuery(const AgentRelay &agent, const Endpoint &entry, const PacketSummary &summary, TimePoint now, AgentOutput &output)
+FlowVerdict verdictOn(const AgentRelay &agent, const FlowKey &key, TimePoint now)
 {
-    const auto known = agent.flows.find(summary.flow);
-    const bool isHeld = known != agent.flows.end() && known->second.isOpen;
-    if (isHeld)
-        output.sendNotice(entry, makeNotice(agent, NoticeKind::Held, summary.flow));
-    else if (known == agent.flows.end() && remembersEveryFlow(agent, now))
-        output.sendNotice(entry, makeNotice(agent, NoticeKind::Denied, summary.flow));
+    const auto known = agent.flows.find(key);
+    if (known != agent.flows.end())
+        return known->second.isOpen ? FlowVerdict::Held : FlowVerdict::Unknown;
+    const bool isDenied = remembersEveryFlow(agent, now) || agent.load.state == TargetState::Closed;
+    return isDenied ? FlowVerdict::Denied : FlowVerdict::Unknown;
+}
+
+/// Compares the target's run with this process: every packet to a target passes its agent, so an agent that is older than its
+/// target, or started together with it, knows all flows.
+void noteTargetRun(AgentRelay &agent, Incarnation run)
+{
+    if (run == 0 || agent.startedAsRun == 0)
+        return;
+    if (run + static_cast<Incarnation>(agent.limits.restartTime.count()) >= agent.startedAsRun)
+        agent.knowsAllFlows = true;
 }
 
 void onReturned(AgentRelay &agent, const PacketSummary &summary, std::span<const std::byte> packet, AgentOutput &output)
@@ -251,6 +260,8 @@
                 AgentOutput &output)
 {
     subscribe(agent, entry, now);
+    if (envelope.purpose == EnvelopePurpose::Subscribe && envelope.service == agent.service)
+        noteTargetRun(agent, envelope.targetRun);
     if (envelope.purpose == EnvelopePurpose::Subscribe || !summary)
         return;
     if (envelope.service != agent.service) {
@@ -265,14 +276,24 @@
         output.sendNotice(entry, notice);
         return;
     }
-    if (envelope.purpose == EnvelopePurpose::Query)
-        onQuery(agent, entry, *summary, now, output);
-    else if (envelope.purpose == EnvelopePurpose::Search)
+    if (envelope.purpose == EnvelopePurpose::Search)
         onSearch(agent, entry, *summary, envelope.packet, now, output);
     else
         passToTarget(agent, entry, *summary, envelope.packet, now, output);
 }
 
+RelayAnswer answerQuery(AgentRelay &agent, const Endpoint &entry, const RelayQuery &query, TimePoint now)
+{
+    subscribe(agent, entry, now);
+    RelayAnswer answer;
+    answer.service = agent.service;
+    answer.load = agent.load;
+    const bool isOwnService = query.service == agent.service;
+    for (const auto &flow : query.flows)
+        answer.findings.push_back({flow, isOwnService ? verdictOn(agent, flow, now) : FlowVerdict::Denied});
+    return answer;
+}
+
 void onTargetPacket(AgentRelay &agent, const PacketSummary &summary, std::span<const std::byte> packet, TimePoint now, AgentOutput &output)
 {
     agent.unansweredSince.reset();
@@ -309,6 +330,8 @@
     agent.load = TargetLoad {};
     agent.load.state = TargetState::Closed;
     agent.flows.clear();
+    // Whatever target comes next, its flows pass this agent from the first packet on.
+    agent.knowsAllFlows = true;
     for (const auto &[key, offer] : agent.offers)
         output.sendNotice(offer.entry, makeNotice(agent, NoticeKind::Denied, key));
     agent.offers.clear();
--- a/Libraries/LibCoordination/AgentRelay.h
+++ b/Libraries/LibCoordination/AgentRelay.h
@@ -34,6 +34,8 @@
     Duration flowLifetime {62'000};
     /// A target that has let a SYN wait for this long, and was silent since, counts as down.
     Duration answerTime {300};
+    /// The least time between the end of a process and the start of the next one on the same VM.
+    Duration restartTime {100};
     /// The weight of a new response time in the mean, in percent.
     int responseWeight = 12;
 };
@@ -71,6 +73,8 @@
     /// The port that entry daemons use among daemons; with a mark it makes their address.
     std::uint16_t daemonPort = 0;
     TimePoint startedAt;
+    /// The VM's time of day at the start, in Unix milliseconds, to compare with runs of the target on the same VM; 0 if unknown.
+    Incarnation startedAsRun = 0;
     /// Whether the agent has seen every flow of its target, as on the first start of the system.
     bool knowsAllFlows = false;
     std::unordered_map<FlowKey, AgentFlow> flows;
@@ -102,6 +106,9 @@
                 TimePoint now,
                 AgentOutput &output);
 
+/// Answers an entry daemon's query.
+[[nodiscard]] RelayAnswer answerQuery(AgentRelay &agent, const Endpoint &entry, const RelayQuery &query, TimePoint now);
+
 /// Handles a packet that the target sent, or sent back.
 void onTargetPacket(AgentRelay &agent, const PacketSummary &summary, std::span<const std::byte> packet, TimePoint now, AgentOutput &output);
 
--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -72,7 +72,7 @@
     const auto &agent = target->published.agent;
     const auto service = target->published.service;
     std::erase_if(flow.candidates, [&](const FlowCandidate &candidate) { return candidate.agent == agent; });
-    flow.candidates.push_back({agent, service, now, EnvelopePurpose::Forward, std::nullopt, false, false});
+    flow.candidates.push_back({agent, service, now});
     output.noteDecision(key, reason, agent);
     const auto purpose = mayBeBusy ? EnvelopePurpose::Forward : EnvelopePurpose::Place;
     output.sendToAgent(agent, {service, purpose, packet, target->published.slots});
@@ -297,6 +297,26 @@
     }
 }
 
+/// Asks an agent which of the flows known to be there its target holds: the VM runs another target than before, and they may have
+/// been opened at either.
+void reviewFlowsAt(EntryRelay &entry, const Endpoint &agent, TimePoint now, EntryOutput &output)
+{
+    for (const auto &[key, flow] : entry.flows) {
+        if (flow.stage == EntryFlowStage::Open && flow.agent == agent && !flow.isFinished)
+            addQuestion(entry.queries, agent, flow.service, key);
+    }
+    sendQueries(entry, now, output);
+}
+
+/// Handles an agent's knowledge of a flow that is open there as far as is known here.
+void onReviewed(EntryFlow &flow, const FlowFinding &finding, TimePoint now, EntryOutput &output)
+{
+    if (finding.verdict == FlowVerdict::Held)
+        flow.isConfirmed = true;
+    else if (finding.verdict == FlowVerdict::Denied && !flow.isFinished)
+        endFlow(finding.flow, flow, RelayReason::TargetGone, flow.acknowledged, now, output);
+}
+
 bool isForgettable(const EntryRelay &entry, const EntryFlow &flow, TimePoint now)
 {
     const auto idle = now - flow.seenAt;
@@ -369,6 +389,33 @@
         endFlowsAt(entry, agent, now, output);
 }
 
+void onAnswer(EntryRelay &entry, const Endpoint &agent, const RelayAnswer &answer, TimePoint now, EntryOutput &output)
+{
+    applyLoad(entry.directory, agent, answer.service, answer.load, now);
+    noteAnswered(entry.queries, agent);
+    for (const auto &finding : answer.findings) {
+        const auto flow = entry.flows.find(finding.flow);
+        if (flow == entry.flows.end())
+            continue;
+        if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent)
+            onReviewed(flow->second, finding, now, output);
+        else if (finding.verdict == FlowVerdict::Held)
+            onHeld(agent, answer.service, finding.flow, flow->second, now, output);
+        else if (finding.verdict == FlowVerdict::Denied)
+            onDenied(entry, agent, finding.flow, flow->second, now, output);
+        else
+            onUndecided(entry, agent, finding.flow, flow->second, now, output);
+    }
+    sendQueries(entry, now, output);
+}
+
+void noteTargetsListed(EntryRelay &entry, TimePoint now)
+{
+    if (!entry.hasTargetList)
+        settleFirstList(entry.directory, now);
+    entry.hasTargetList = true;
+}
+
 void noteTargetsComplete(EntryRelay &entry, TimePoint asOf)
 {
     entry.targetsCompleteAt = std::max(entry.targetsCompleteAt, asOf);
@@ -394,7 +441,7 @@
 {
     const auto effect = applyPublished(entry.directory, target, now);
     if (effect == PublicationEffect::Replaced)
-        endFlowsAt(entry, target.agent, now, output);
+        reviewFlowsAt(entry, target.agent, now, output);
     return effect;
 }
 
@@ -405,6 +452,7 @@
             endFlowsAt(entry, record.published.agent, now, output);
     }
     reviewVerdicts(entry, now, output);
+    forgetIdleBatches(entry.queries, now);
     forgetDeparted(entry.directory, now);
     std::erase_if(entry.flows, [&](const auto &flow) { return isForgettable(entry, flow.second, now); });
 }
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCoordination/QueryBatches.h"
 #include "LibCoordination/RelayReason.h"
 #include "LibCoordination/TargetChoice.h"
 #include "LibCoordination/TargetDirectory.h"
@@ -42,9 +43,6 @@
     Duration watchLatency {150};
     /// No flow is older. For this long after its start an entry daemon cannot know which services a route had before.
     Duration flowLifetime {62'000};
-    /// Agents that the second round of a search asks; each further one asks twice as many.
-    std::size_t searchRound = 12;
-    std::size_t searchRounds = 8;
     /// Agents of services that the flow's route does not have, as far as is known, that are asked about it at the most.
     std::size_t unrelatedAgents = 256;
 };
@@ -54,10 +52,11 @@
     Endpoint agent;
     ServiceId service = 0;
     TimePoint sentAt;
-    /// How the agent is asked, while the flow is being searched for.
-    EnvelopePurpose purpose = EnvelopePurpose::Forward;
+    /// While the flow is being searched for: whether the target may get the flow's packets, and whether it was offered one.
+    bool mayGetPackets = true;
+    bool wasOffered = false;
     /// The initial sequence number with which the target answered.
-    std::optional<std::uint32_t> sequence;
+    std::optional<std::uint32_t> sequence {};
     bool hasReturned = false;
     /// Whether the agent would not pass the SYN on, since its target is busy.
     bool isBusy = false;
@@ -88,8 +87,6 @@
     /// Whether the target is known to have held the flow, rather than taken to.
     bool isConfirmed = false;
     bool isFinished = false;
-    /// While searching: how many rounds of agents were asked.
-    std::size_t searchRounds = 0;
     /// The last sequence number that the caller expected; a reset has to be near it.
     std::uint32_t acknowledged = 0;
     TimePoint changedAt;
@@ -120,6 +117,7 @@
     std::unordered_map<FlowKey, EntryFlow> flows;
     /// What searches may use of the VM's link, in bytes: after a restart of everything they would fill it, and no answer came.
     TokenBucket searchBytes;
+    QueryBatches queries;
 };
 
 /// Carries out what the entry daemon decides.
@@ -129,6 +127,7 @@
     virtual ~EntryOutput() = default;
 
     virtual void sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope) = 0;
+    virtual void sendQuery(const Endpoint &agent, const RelayQuery &query) = 0;
     /// Sends the caller a reset that its end of the flow accepts at this sequence number.
     virtual void resetCaller(const FlowKey &flow, std::uint32_t sequence) = 0;
     /// Asks for the platform's changes now, rather than when the next batch of them is due.
@@ -150,6 +149,12 @@
 /// Handles an agent's load report.
 void onReport(EntryRelay &entry, const Endpoint &agent, const RelayReport &report, TimePoint now, EntryOutput &output);
 
+/// Handles an agent's answer to a query.
+void onAnswer(EntryRelay &entry, const Endpoint &agent, const RelayAnswer &answer, TimePoint now, EntryOutput &output);
+
+/// Notes that the platform's list of targets was read since the start.
+void noteTargetsListed(EntryRelay &entry, TimePoint now);
+
 /// Returns whether routes and targets are known, so that an unknown address or flow says something.
 [[nodiscard]] bool isInformed(const EntryRelay &entry);
 
@@ -159,7 +164,7 @@
 /// Takes a newer route table. Older ones are ignored; returns whether it was taken.
 bool setRoutes(EntryRelay &entry, RouteTable routes, TimePoint now);
 
-/// Notes a target that the platform published; resets the flows of a former one on the same VM.
+/// Notes a target that the platform published. When it takes another's place on its VM, the agent is asked for the flows there.
 PublicationEffect onPublished(EntryRelay &entry, const PublishedTarget &target, TimePoint now, EntryOutput &output);
 
 /// Forgets old flows, and resets those of targets that are gone. Call once a second.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -21,19 +21,35 @@
     return std::find(flow.deniedBy.begin(), flow.deniedBy.end(), agent) != flow.deniedBy.end();
 }
 
-/// Asks agents for as long as searches may use the link. Returns how many were asked.
+/// The share of the link that a message of this size takes from searches. Returns whether it may be sent.
+bool takeLink(EntryRelay &entry, std::size_t size, TimePoint now)
+{
+    return takeTokens(entry.searchBytes, EnvelopeOverhead + static_cast<double>(size), now);
+}
+
+/// Offers a packet to targets for as long as searches may use the link. Returns how many got it.
 std::size_t
-askAgents(EntryRelay &entry, std::span<FlowCandidate> agents, std::span<const std::byte> packet, TimePoint now, EntryOutput &output)
+offerPacket(EntryRelay &entry, std::span<FlowCandidate> agents, std::span<const std::byte> packet, TimePoint now, EntryOutput &output)
 {
-    std::size_t asked = 0;
+    std::size_t offered = 0;
     for (auto &candidate : agents) {
-        if (!takeTokens(entry.searchBytes, EnvelopeOverhead + static_cast<double>(packet.size()), now))
+        if (!takeLink(entry, packet.size(), now))
             break;
         candidate.sentAt = now;
-        output.sendToAgent(candidate.agent, {candidate.service, candidate.purpose, packet});
-        ++asked;
+        candidate.wasOffered = true;
+        output.sendToAgent(candidate.agent, {candidate.service, EnvelopePurpose::Search, packet});
+        ++offered;
+    }
+    return offered;
+}
+
+/// Asks agents with the next queries, without a packet.
+void queryAgents(EntryRelay &entry, const FlowKey &key, std::span<FlowCandidate> agents, TimePoint now)
+{
+    for (auto &candidate : agents) {
+        candidate.sentAt = now;
+        addQuestion(entry.queries, candidate.agent, candidate.service, key);
     }
-    return asked;
 }
 
 /// Returns whether every target that was listed at a time is known.
@@ -44,10 +60,24 @@
     return completeAt >= time;
 }
 
+/// Returns the time up to which the list of targets has to be complete for a verdict on a flow. A flow is opened only at targets
+/// that were listed a while before, unless most of its service's targets are new.
+TimePoint requiredListTime(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow)
+{
+    const auto route = entry.routes.routes.find(key.service);
+    if (route == entry.routes.routes.end())
+        return flow.searchedSince;
+    const auto &services = route->second.services;
+    const bool areSettled = std::all_of(services.begin(), services.end(), [&](const WeightedService &service) {
+        return service.weight == 0 || isMostlySettled(entry.directory, service.service, flow.searchedSince);
+    });
+    return areSettled ? flow.searchedSince - entry.directory.limits.settleTime : flow.searchedSince;
+}
+
 /// Ends a flow that every known agent denied, unless its target may have been listed too lately to be known here.
 void concludeDenied(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    if (knowsAllTargetsOf(entry, flow.searchedSince, now)) {
+    if (knowsAllTargetsOf(entry, requiredListTime(entry, key, flow), now)) {
         endFlow(key, flow, RelayReason::HeldByNobody, flow.acknowledged, now, output);
         return;
     }
@@ -55,30 +85,55 @@
     output.refreshTargets();
 }
 
-/// Asks the next agents in the order of the plan. Each round asks more than the one before, so that a flow that some agent holds
-/// costs few messages, and one that nobody holds few rounds.
+/// Returns the agents of the plan that were not asked yet.
+std::vector<FlowCandidate> unaskedAgents(const SearchPlan &plan, const EntryFlow &flow)
+{
+    std::vector<FlowCandidate> agents;
+    for (const auto &agent : plan.agents) {
+        if (!isAmong(flow.candidates, agent.agent) && !hasDenied(flow, agent.agent))
+            agents.push_back(agent);
+    }
+    return agents;
+}
+
+/// Offers the packet to the likely targets first, which costs few messages when one of them holds the flow. All others are asked
+/// together, in queries that many searches share.
 void askNextRound(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
     if (flow.heldPackets.empty())
         return;
     const auto plan = planSearch(entry, key, now);
-    std::vector<FlowCandidate> round;
-    const auto size = flow.searchRounds == 0 ? entry.weights.candidates : entry.limits.searchRound << (flow.searchRounds - 1);
-    for (const auto &agent : plan.agents) {
-        if (round.size() < size && !isAmong(flow.candidates, agent.agent) && !hasDenied(flow, agent.agent))
-            round.push_back(agent);
+    auto unasked = unaskedAgents(plan, flow);
+    if (unasked.empty()) {
+        if (flow.candidates.empty() && plan.isComplete && !plan.agents.empty())
+            concludeDenied(entry, key, flow, now, output);
+        return;
     }
-    if (round.empty() && flow.candidates.empty() && plan.isComplete && !plan.agents.empty()) {
-        concludeDenied(entry, key, flow, now, output);
+    const bool isFirstRound = flow.candidates.empty() && flow.deniedBy.empty();
+    if (!isFirstRound) {
+        queryAgents(entry, key, unasked, now);
+        flow.candidates.insert(flow.candidates.end(), unasked.begin(), unasked.end());
+        sendQueries(entry, now, output);
         return;
     }
-    const auto asked = askAgents(entry, round, flow.heldPackets.front(), now, output);
-    if (asked < round.size())
+    unasked.resize(std::min(unasked.size(), entry.weights.candidates));
+    const auto offered = offerPacket(entry, unasked, flow.heldPackets.front(), now, output);
+    if (offered < unasked.size())
         output.noteDecision(key, RelayReason::SearchDeferred, {});
-    if (asked == round.size())
-        flow.searchRounds = std::min(flow.searchRounds + 1, entry.limits.searchRounds);
-    round.resize(asked);
-    flow.candidates.insert(flow.candidates.end(), round.begin(), round.end());
+    unasked.resize(offered);
+    flow.candidates.insert(flow.candidates.end(), unasked.begin(), unasked.end());
+}
+
+/// Asks the agents again that have not answered, each as before.
+void repeatQuestions(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+{
+    const auto offered =
+        std::partition(flow.candidates.begin(), flow.candidates.end(), [](const FlowCandidate &agent) { return agent.wasOffered; });
+    const auto count = static_cast<std::size_t>(std::distance(flow.candidates.begin(), offered));
+    const std::span candidates(flow.candidates);
+    (void)offerPacket(entry, candidates.first(count), flow.heldPackets.front(), now, output);
+    queryAgents(entry, key, candidates.subspan(count), now);
+    sendQueries(entry, now, output);
 }
 
 /// Forgets agents whose targets are gone since they were asked: they will not answer, and hold nothing.
@@ -106,7 +161,6 @@
     flow.acknowledged = summary.acknowledgement;
     flow.changedAt = now;
     flow.searchedSince = now;
-    flow.searchRounds = 0;
     flow.candidates.clear();
     flow.deniedBy.clear();
     flow.heldPackets.clear();
@@ -137,7 +191,7 @@
     forgetGone(entry, summary.flow, flow, now);
     if (!flow.candidates.empty()) {
         output.noteDecision(summary.flow, RelayReason::SearchUnanswered, flow.candidates.front().agent);
-        (void)askAgents(entry, flow.candidates, packet, now, output);
+        repeatQuestions(entry, summary.flow, flow, now, output);
     }
     askNextRound(entry, summary.flow, flow, now, output);
 }
@@ -148,7 +202,7 @@
         return;
     const auto asked =
         std::find_if(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &other) { return other.agent == agent; });
-    const bool hasFirstPacket = asked != flow.candidates.end() && asked->purpose == EnvelopePurpose::Search;
+    const bool hasFirstPacket = asked != flow.candidates.end() && asked->wasOffered;
     flow.stage = EntryFlowStage::Open;
     flow.agent = agent;
     flow.service = service;
@@ -157,7 +211,7 @@
     flow.candidates.clear();
     flow.deniedBy.clear();
     output.noteDecision(key, RelayReason::SearchFound, agent);
-    // A search takes the first packet to the target that holds the flow; a query does not.
+    // An offer takes the first packet to the target that holds the flow; a query does not.
     const auto packets = std::exchange(flow.heldPackets, {});
     for (std::size_t index = hasFirstPacket ? 1 : 0; index < packets.size(); ++index)
         output.sendToAgent(agent, {service, EnvelopePurpose::Forward, packets[index]});
@@ -174,6 +228,40 @@
         askNextRound(entry, key, flow, now, output);
 }
 
+void onUndecided(EntryRelay &entry, const Endpoint &agent, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+{
+    if (flow.stage != EntryFlowStage::Searching || flow.heldPackets.empty())
+        return;
+    for (auto &candidate : flow.candidates) {
+        if (candidate.agent != agent || !candidate.mayGetPackets || candidate.wasOffered)
+            continue;
+        if (offerPacket(entry, std::span(&candidate, 1), flow.heldPackets.front(), now, output) == 0)
+            output.noteDecision(key, RelayReason::SearchDeferred, agent);
+        return;
+    }
+}
+
+void sendQueries(EntryRelay &entry, TimePoint now, EntryOutput &output)
+{
+    for (const auto &agent : agentsDue(entry.queries, now)) {
+        const auto waiting = std::min(entry.queries.batches[agent].waiting.size(), entry.queries.limits.flowsInQuery);
+        if (!takeLink(entry, waiting * sizeof(FlowKey), now))
+            return;
+        auto query = takeQuery(entry.queries, agent, now);
+        std::erase_if(query.flows, [&](const FlowKey &key) {
+            const auto flow = entry.flows.find(key);
+            if (flow == entry.flows.end())
+                return true;
+            return flow->second.stage != EntryFlowStage::Searching && flow->second.stage != EntryFlowStage::Open;
+        });
+        if (query.flows.empty()) {
+            noteAnswered(entry.queries, agent);
+            continue;
+        }
+        output.sendQuery(agent, query);
+    }
+}
+
 void reviewVerdicts(EntryRelay &entry, TimePoint now, EntryOutput &output)
 {
     for (const auto &key : std::exchange(entry.awaitingVerdict, {})) {
--- a/Libraries/LibCoordination/EntrySearch.h
+++ b/Libraries/LibCoordination/EntrySearch.h
@@ -28,6 +28,13 @@
 /// known to be as new as the search.
 void onDenied(EntryRelay &entry, const Endpoint &agent, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output);
 
+/// Notes that an agent cannot know whether its target holds the flow, and offers the target a packet if it may get it.
+void onUndecided(EntryRelay &entry, const Endpoint &agent, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output);
+
+/// Sends the queries that are due, as far as searches may use the link. Call whenever something was received, and often enough
+/// between for QueryLimits::gatherTime.
+void sendQueries(EntryRelay &entry, TimePoint now, EntryOutput &output);
+
 /// Ends the searches whose last denial waited for the list of targets to be current.
 void reviewVerdicts(EntryRelay &entry, TimePoint now, EntryOutput &output);
 
--- a/Libraries/LibCoordination/SearchPlan.cpp
+++ b/Libraries/LibCoordination/SearchPlan.cpp
@@ -28,14 +28,14 @@
 }
 
 /// Appends targets to a plan, those that rank first for the flow before the others.
-void appendRanked(SearchPlan &plan, std::span<const PublishedTarget *const> targets, const FlowKey &flow, EnvelopePurpose purpose)
+void appendRanked(SearchPlan &plan, std::span<const PublishedTarget *const> targets, const FlowKey &flow, bool mayGetPackets)
 {
     std::vector<std::uint64_t> ids;
     ids.reserve(targets.size());
     for (const auto *target : targets)
         ids.push_back(target->id);
     for (const auto index : rendezvousRank(ids, hashOf(flow), ids.size()))
-        plan.agents.push_back({targets[index]->agent, targets[index]->service, {}, purpose, std::nullopt, false, false});
+        plan.agents.push_back({targets[index]->agent, targets[index]->service, {}, mayGetPackets});
 }
 
 } // namespace
@@ -63,9 +63,9 @@
     plan.isComplete = unrelated.size() <= entry.limits.unrelatedAgents;
     if (!plan.isComplete)
         unrelated.resize(entry.limits.unrelatedAgents);
-    appendRanked(plan, likely, flow, EnvelopePurpose::Search);
-    appendRanked(plan, related, flow, EnvelopePurpose::Search);
-    appendRanked(plan, unrelated, flow, EnvelopePurpose::Query);
+    appendRanked(plan, likely, flow, true);
+    appendRanked(plan, related, flow, true);
+    appendRanked(plan, unrelated, flow, false);
     return plan;
 }
 
--- a/Libraries/LibCoordination/TargetChoice.cpp
+++ b/Libraries/LibCoordination/TargetChoice.cpp
@@ -13,19 +13,28 @@
     return std::find(excluded.begin(), excluded.end(), record.published.agent) != excluded.end();
 }
 
-/// Returns the targets of a service that may take a new flow. Suspects are taken only when there is nobody else.
+/// Returns the targets of a service that may take a new flow. Suspects are taken only when there is nobody else, and targets that
+/// other entry daemons may not know yet only while most are such.
 std::vector<TargetRecord *>
 collectEligible(TargetDirectory &directory, ServiceId service, std::span<const Endpoint> excluded, TimePoint now)
 {
     std::vector<TargetRecord *> eligible;
+    std::vector<TargetRecord *> newcomers;
     std::vector<TargetRecord *> suspects;
+    const bool areNewcomersLeftOut = isMostlySettled(directory, service, now);
     for (auto &[id, record] : directory.targets) {
         if (record.published.service != service || isExcluded(record, excluded) || !mayTakeNewFlows(record, now))
             continue;
         const bool isSuspect = record.suspectUntil > now || record.load.state != TargetState::Answering;
-        (isSuspect ? suspects : eligible).push_back(&record);
+        const bool isLeftOut = areNewcomersLeftOut && record.settledAt > now;
+        if (isSuspect)
+            suspects.push_back(&record);
+        else
+            (isLeftOut ? newcomers : eligible).push_back(&record);
     }
-    return eligible.empty() ? suspects : eligible;
+    if (!eligible.empty())
+        return eligible;
+    return newcomers.empty() ? suspects : newcomers;
 }
 
 double meanResponseTime(std::span<TargetRecord *const> targets, double unknown)
@@ -71,12 +80,6 @@
     return cost;
 }
 
-bool mayTakeNewFlows(const TargetRecord &record, TimePoint now)
-{
-    const bool hasDeparted = record.departedAt && *record.departedAt <= now;
-    return !hasDeparted && !record.published.isDraining;
-}
-
 TargetRecord *chooseTarget(TargetDirectory &directory,
                            ServiceId service,
                            const FlowKey &flow,
--- a/Libraries/LibCoordination/TargetChoice.h
+++ b/Libraries/LibCoordination/TargetChoice.h
@@ -27,9 +27,6 @@
 [[nodiscard]] double
 expectedCost(const TargetRecord &record, std::string_view ownDomain, double usualResponseTime, const ChoiceWeights &weights, TimePoint now);
 
-/// Returns whether a target may be given new flows.
-[[nodiscard]] bool mayTakeNewFlows(const TargetRecord &record, TimePoint now);
-
 /// Returns the target of a service that a new flow goes to, leaving out the agents in `excluded`; nothing when there is none.
 [[nodiscard]] TargetRecord *chooseTarget(TargetDirectory &directory,
                                          ServiceId service,
--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -32,12 +32,26 @@
     return next.incarnation != 0 && record->second.published.incarnation > next.incarnation;
 }
 
+/// Returns from when on a target counts as known everywhere. A new run or another target of the same service at the same address
+/// is as well known as the former one, since agents are found by their address.
+TimePoint settlingTime(const TargetDirectory &directory, const PublishedTarget &next, TimePoint now)
+{
+    const auto unknown = now + directory.limits.settleTime;
+    const auto known = directory.targetOfAgent.find(next.agent);
+    if (known == directory.targetOfAgent.end())
+        return unknown;
+    const auto former = directory.targets.find(known->second);
+    const bool isSameService = former != directory.targets.end() && former->second.published.service == next.service;
+    return isSameService ? std::min(former->second.settledAt, unknown) : unknown;
+}
+
 } // namespace
 
 PublicationEffect applyPublished(TargetDirectory &directory, const PublishedTarget &target, TimePoint now)
 {
     if (isOutdated(directory, target))
         return PublicationEffect::Unchanged;
+    const auto settledAt = settlingTime(directory, target, now);
     const bool isDisplacing = displacesAnother(directory, target);
     if (isDisplacing) {
         const auto former = directory.targets.find(directory.targetOfAgent[target.agent]);
@@ -50,6 +64,7 @@
         TargetRecord record;
         record.published = target;
         record.coldUntil = now + target.coldTime;
+        record.settledAt = settledAt;
         directory.targets.emplace(target.id, std::move(record));
         return isDisplacing ? PublicationEffect::Replaced : PublicationEffect::Added;
     }
@@ -63,6 +78,7 @@
     }
     record.published = target;
     record.coldUntil = now + target.coldTime;
+    record.settledAt = settledAt;
     record.departedAt.reset();
     if (isUnchanged)
         return PublicationEffect::Unchanged;
@@ -78,6 +94,33 @@
     return true;
 }
 
+void settleFirstList(TargetDirectory &directory, TimePoint now)
+{
+    for (auto &[id, record] : directory.targets) {
+        if (record.coldUntil <= now)
+            record.settledAt = now;
+    }
+}
+
+bool isMostlySettled(const TargetDirectory &directory, ServiceId service, TimePoint now)
+{
+    std::size_t settled = 0;
+    std::size_t total = 0;
+    for (const auto &[id, record] : directory.targets) {
+        if (record.published.service != service || !mayTakeNewFlows(record, now))
+            continue;
+        ++total;
+        settled += record.settledAt <= now ? 1 : 0;
+    }
+    return total > 0 && settled * 2 >= total;
+}
+
+bool mayTakeNewFlows(const TargetRecord &record, TimePoint now)
+{
+    const bool hasDeparted = record.departedAt && *record.departedAt <= now;
+    return !hasDeparted && !record.published.isDraining;
+}
+
 void applyLoad(TargetDirectory &directory, const Endpoint &agent, ServiceId service, const TargetLoad &load, TimePoint now)
 {
     auto *record = findByAgent(directory, agent);
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -39,6 +39,8 @@
 struct TargetRecord {
     PublishedTarget published;
     TimePoint coldUntil;
+    /// From when on every entry daemon that follows the platform knows the agent's address too.
+    TimePoint settledAt;
     TargetLoad load;
     /// When its agent was last heard; nothing before the first word.
     std::optional<TimePoint> heardAt;
@@ -61,6 +63,8 @@
     Duration departedTime {65'000};
     /// After this silence of its agent, a departed target counts as gone with all its flows.
     Duration agentSilence {3'000};
+    /// Until a target that was just listed counts as known everywhere: the pause between two watches and what a watch may take.
+    Duration settleTime {1'200};
 };
 
 /// The targets known to one entry daemon.
@@ -86,6 +90,16 @@
 /// Notes that the platform no longer lists a target, which counts from `departsAt` on. Returns whether that is news.
 bool applyDeparted(TargetDirectory &directory, MemberId target, TimePoint departsAt);
 
+/// Notes that the targets known now are the first list since the start. Those that are no longer cold were listed long before.
+void settleFirstList(TargetDirectory &directory, TimePoint now);
+
+/// Returns whether at least half of a service's targets that may take new flows are settled. Then the others get none, so that no
+/// flow is at a target that another entry daemon does not know.
+[[nodiscard]] bool isMostlySettled(const TargetDirectory &directory, ServiceId service, TimePoint now);
+
+/// Returns whether a target may be given new flows.
+[[nodiscard]] bool mayTakeNewFlows(const TargetRecord &record, TimePoint now);
+
 /// Notes an agent's word on the load of its target. An agent that serves another service than its target was published for is ignored.
 void applyLoad(TargetDirectory &directory, const Endpoint &agent, ServiceId service, const TargetLoad &load, TimePoint now);
 
--- a/Libraries/LibEmulator/RelayWorld.cpp
+++ b/Libraries/LibEmulator/RelayWorld.cpp
@@ -1,5 +1,6 @@
 #include "LibEmulator/RelayWorld.h"
 
+#include "LibCoordination/EntrySearch.h"
 #include "LibCoordination/RendezvousHash.h"
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 constexpr std::uint32_t FirstTargetAddress = 0x0a020001;
 constexpr Duration EntryTick {200};
 constexpr Duration AgentTick {100};
+/// How often an entry daemon looks for queries that are due.
+constexpr Duration EntryPoll {20};
 constexpr Duration SubscriptionInterval {2'000};
 /// Until the fabric sends nothing more to an entry daemon that does not answer.
 constexpr Duration RotationDelay {1'000};
@@ -57,6 +60,12 @@
         world.sendToAgentNode(address, agent, {bytes.begin(), bytes.end()});
     }
 
+    void sendQuery(const Endpoint &agent, const RelayQuery &query) override
+    {
+        const auto bytes = encoder.encode(query);
+        world.sendToAgentNode(address, agent, {bytes.begin(), bytes.end()});
+    }
+
     void resetCaller(const FlowKey &flow, std::uint32_t) override
     {
         EmulatedPacket packet;
@@ -80,6 +89,8 @@
         const auto now = world.m_events.now();
         if (const auto *report = std::get_if<RelayReport>(&message.value()))
             onReport(relay, agent, *report, now, *this);
+        if (const auto *answer = std::get_if<RelayAnswer>(&message.value()))
+            onAnswer(relay, agent, *answer, now, *this);
         const auto *notice = std::get_if<RelayNotice>(&message.value());
         if (notice == nullptr)
             return;
@@ -138,7 +149,13 @@
     void receive(const Endpoint &entry, std::span<const std::byte> datagram)
     {
         const auto message = decodeRelayDatagram(datagram);
-        const auto *envelope = message.has_value() ? std::get_if<RelayEnvelope>(&message.value()) : nullptr;
+        if (message.has_error())
+            return;
+        if (const auto *query = std::get_if<RelayQuery>(&message.value())) {
+            const auto bytes = encoder.encode(answerQuery(relay, entry, *query, world.m_events.now()));
+            world.sendToEntryNode(address, entry, {bytes.begin(), bytes.end()});
+        }
+        const auto *envelope = std::get_if<RelayEnvelope>(&message.value());
         if (envelope == nullptr)
             return;
         std::optional<PacketSummary> summary;
@@ -286,11 +303,12 @@
         if (m_agents[target]->listingRevision > 0)
             publishTo(entry, publicationOf(target));
     }
-    entry.relay.hasTargetList = true;
+    noteTargetsListed(entry.relay, m_events.now());
     entry.relay.watchingSince = m_events.now();
     noteTargetsComplete(entry.relay, m_events.now());
     entry.isInRotation = true;
     tickEntry(index, starts);
+    pollEntry(index, starts);
 }
 
 void RelayWorld::restartEntryGracefully(std::size_t index)
@@ -434,6 +452,15 @@
     m_events.after(EntryTick, [this, index, run] { tickEntry(index, run); });
 }
 
+void RelayWorld::pollEntry(std::size_t index, std::uint64_t run)
+{
+    auto &entry = *m_entries.at(index);
+    if (!entry.isUp || entry.starts != run)
+        return;
+    sendQueries(entry.relay, m_events.now(), entry);
+    m_events.after(EntryPoll, [this, index, run] { pollEntry(index, run); });
+}
+
 void RelayWorld::tickAgent(std::size_t index, std::uint64_t run)
 {
     auto &agent = *m_agents.at(index);
--- a/Libraries/LibEmulator/RelayWorld.h
+++ b/Libraries/LibEmulator/RelayWorld.h
@@ -101,6 +101,7 @@
     void publishTo(EntryNode &entry, const PublishedTarget &target);
     [[nodiscard]] PublishedTarget publicationOf(std::size_t index) const;
     void tickEntry(std::size_t index, std::uint64_t run);
+    void pollEntry(std::size_t index, std::uint64_t run);
     void tickAgent(std::size_t index, std::uint64_t run);
     void noteRun(std::uint64_t request, const FlowKey &flow, ServiceId service);
     [[nodiscard]] bool isHeldByTarget(const FlowKey &flow) const;
--- a/Libraries/LibProtocol/RelayCodec.cpp
+++ b/Libraries/LibProtocol/RelayCodec.cpp
@@ -13,6 +13,11 @@
     return {endpoint.address, endpoint.port};
 }
 
+RelayWire::Flow toWire(const FlowKey &flow)
+{
+    return {toWire(flow.caller), toWire(flow.service)};
+}
+
 RelayWire::Load toWire(const TargetLoad &load)
 {
     return {load.openFlows, load.runningRequests, load.responseTime, static_cast<std::uint8_t>(load.state)};
@@ -23,6 +28,11 @@
     return address == nullptr ? Endpoint {} : Endpoint {address->address(), address->port()};
 }
 
+FlowKey fromWire(const RelayWire::Flow &flow)
+{
+    return {fromWire(&flow.caller()), fromWire(&flow.service())};
+}
+
 TargetLoad fromWire(const RelayWire::Load *load)
 {
     if (load == nullptr)
@@ -50,8 +60,8 @@
 Offset write(flatbuffers::FlatBufferBuilder &builder, const RelayEnvelope &message)
 {
     const auto packet = writeBytes(builder, message.packet);
-    return RelayWire::CreateEnvelope(builder, message.service, static_cast<std::uint8_t>(message.purpose), packet, message.busyFrom)
-        .Union();
+    const auto purpose = static_cast<std::uint8_t>(message.purpose);
+    return RelayWire::CreateEnvelope(builder, message.service, purpose, packet, message.busyFrom, message.targetRun).Union();
 }
 
 Offset write(flatbuffers::FlatBufferBuilder &builder, const RelayNotice &message)
@@ -70,6 +80,25 @@
     return RelayWire::CreateReport(builder, message.service, &load).Union();
 }
 
+Offset write(flatbuffers::FlatBufferBuilder &builder, const RelayQuery &message)
+{
+    std::vector<RelayWire::Flow> flows;
+    flows.reserve(message.flows.size());
+    for (const auto &flow : message.flows)
+        flows.push_back(toWire(flow));
+    return RelayWire::CreateQuery(builder, message.service, builder.CreateVectorOfStructs(flows)).Union();
+}
+
+Offset write(flatbuffers::FlatBufferBuilder &builder, const RelayAnswer &message)
+{
+    std::vector<RelayWire::Finding> findings;
+    findings.reserve(message.findings.size());
+    for (const auto &finding : message.findings)
+        findings.emplace_back(toWire(finding.flow), static_cast<std::uint8_t>(finding.verdict));
+    const auto load = toWire(message.load);
+    return RelayWire::CreateAnswer(builder, message.service, &load, builder.CreateVectorOfStructs(findings)).Union();
+}
+
 Failure malformed()
 {
     return {FailureKind::MalformedDatagram, 0, "relay_datagram"};
@@ -79,8 +108,8 @@
 {
     if (wire.purpose() > static_cast<std::uint8_t>(EnvelopePurpose::Subscribe))
         return malformed();
-    return RelayMessage {
-        RelayEnvelope {wire.service(), static_cast<EnvelopePurpose>(wire.purpose()), fromWire(wire.packet()), wire.busy_from()}};
+    const auto purpose = static_cast<EnvelopePurpose>(wire.purpose());
+    return RelayMessage {RelayEnvelope {wire.service(), purpose, fromWire(wire.packet()), wire.busy_from(), wire.target_run()}};
 }
 
 Result<RelayMessage> read(const RelayWire::Notice &wire)
@@ -102,6 +131,32 @@
     return RelayMessage {RelayReport {wire.service(), fromWire(wire.load())}};
 }
 
+Result<RelayMessage> read(const RelayWire::Query &wire)
+{
+    RelayQuery query;
+    query.service = wire.service();
+    if (wire.flows() == nullptr)
+        return RelayMessage {std::move(query)};
+    for (const auto *flow : *wire.flows())
+        query.flows.push_back(fromWire(*flow));
+    return RelayMessage {std::move(query)};
+}
+
+Result<RelayMessage> read(const RelayWire::Answer &wire)
+{
+    RelayAnswer answer;
+    answer.service = wire.service();
+    answer.load = fromWire(wire.load());
+    if (wire.findings() == nullptr)
+        return RelayMessage {std::move(answer)};
+    for (const auto *finding : *wire.findings()) {
+        if (finding->verdict() > static_cast<std::uint8_t>(FlowVerdict::Denied))
+            return malformed();
+        answer.findings.push_back({fromWire(finding->flow()), static_cast<FlowVerdict>(finding->verdict())});
+    }
+    return RelayMessage {std::move(answer)};
+}
+
 } // namespace
 
 struct RelayEncoder::Builder {
@@ -144,6 +199,10 @@
         return read(*root->message_as_Notice());
     case RelayWire::Message::Report:
         return read(*root->message_as_Report());
+    case RelayWire::Message::Query:
+        return read(*root->message_as_Query());
+    case RelayWire::Message::Answer:
+        return read(*root->message_as_Answer());
     case RelayWire::Message::NONE:
         break;
     }
--- a/Libraries/LibState/RelayMessages.h
+++ b/Libraries/LibState/RelayMessages.h
@@ -19,9 +19,6 @@
     Place,
     /// Say whether the target holds the flow of the packet, and pass the packet on if it does.
     Search,
-    /// Say whether the target holds the flow, as far as the agent knows; the packet must not reach the target. An agent that
-    /// cannot know says nothing.
-    Query,
     /// Nothing: the envelope has no packet and only asks for load reports.
     Subscribe,
 };
@@ -33,6 +30,30 @@
     std::span<const std::byte> packet;
     /// For Place: running requests from which on the target is busy.
     std::uint32_t busyFrom = 0;
+    /// For Subscribe: the run of the target that the platform publishes; 0 while unknown.
+    Incarnation targetRun = 0;
+};
+
+/// Asks an agent which of several flows its target holds, as far as the agent knows. The target gets no packet.
+struct RelayQuery {
+    ServiceId service = 0;
+    std::vector<FlowKey> flows;
+};
+
+/// What an agent knows of a flow.
+enum class FlowVerdict : std::uint8_t {
+    /// The agent started after the flow may have been opened; only the target can tell.
+    Unknown,
+    Held,
+    Denied,
+};
+
+/// An agent's knowledge of one flow.
+struct FlowFinding {
+    FlowKey flow;
+    FlowVerdict verdict = FlowVerdict::Unknown;
+
+    bool operator==(const FlowFinding &) const = default;
 };
 
 /// Whether a target reacts to packets.
@@ -91,7 +112,14 @@
     TargetLoad load;
 };
 
-using RelayMessage = std::variant<RelayEnvelope, RelayNotice, RelayReport>;
+/// An agent's answer to a query.
+struct RelayAnswer {
+    ServiceId service = 0;
+    TargetLoad load;
+    std::vector<FlowFinding> findings;
+};
+
+using RelayMessage = std::variant<RelayEnvelope, RelayNotice, RelayReport, RelayQuery, RelayAnswer>;
 
 /// Returns the stable name of a notice for logs.
 [[nodiscard]] std::string_view noticeKindName(NoticeKind kind);
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -1,6 +1,7 @@
 #include "RelayAgentTask.h"
 
 #include "LibTransport/MonotonicClock.h"
+#include "LibTransport/WallClock.h"
 #include "platform/PacketCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -48,6 +49,7 @@
     m_relay.service = hashOf(m_settings.service);
     m_relay.daemonPort = m_settings.daemon.port;
     m_relay.startedAt = currentTime();
+    m_relay.startedAsRun = timeOfDay();
     m_relay.knowsAllFlows = m_settings.isFirstStart;
 }
 
@@ -58,7 +60,8 @@
     while (!m_isStopped) {
         m_poll.wait(PollTime, [&](std::uint64_t token) {
             if (token == DaemonToken)
-                m_daemon.receive([&](std::span<const std::byte> datagram, const Endpoint &entry) { handleEnvelope(datagram, entry); });
+                m_daemon.receive(
+                    [&](std::span<const std::byte> datagram, const Endpoint &entry) { handleDaemonDatagram(datagram, entry); });
             else
                 m_outbound.receive([&](std::span<const std::byte> packet, const Endpoint &) { handleTargetPacket(packet); });
         });
@@ -83,24 +86,31 @@
     }
 }
 
-void RelayAgentTask::handleEnvelope(std::span<const std::byte> datagram, const Endpoint &entry)
+void RelayAgentTask::handleDaemonDatagram(std::span<const std::byte> datagram, const Endpoint &entry)
 {
     const auto message = decodeRelayDatagram(datagram);
-    const auto *envelope = message.has_value() ? std::get_if<RelayEnvelope>(&message.value()) : nullptr;
-    if (envelope == nullptr) {
-        m_metrics.count("datagrams_dropped", message.has_error() ? failureKindName(message.error().kind) : "unexpected_message");
-        return;
-    }
+    if (message.has_error())
+        m_metrics.count("datagrams_dropped", failureKindName(message.error().kind));
+    else if (const auto *envelope = std::get_if<RelayEnvelope>(&message.value()))
+        handleEnvelope(*envelope, entry);
+    else if (const auto *query = std::get_if<RelayQuery>(&message.value()))
+        m_daemon.queue(entry, m_encoder.encode(answerQuery(m_relay, entry, *query, currentTime())));
+    else
+        m_metrics.count("datagrams_dropped", "unexpected_message");
+}
+
+void RelayAgentTask::handleEnvelope(const RelayEnvelope &envelope, const Endpoint &entry)
+{
     std::optional<PacketSummary> summary;
-    if (envelope->purpose != EnvelopePurpose::Subscribe) {
-        const auto parsed = Platform::parsePacket(envelope->packet, Platform::PacketOrigin::Caller);
+    if (envelope.purpose != EnvelopePurpose::Subscribe) {
+        const auto parsed = Platform::parsePacket(envelope.packet, Platform::PacketOrigin::Caller);
         if (parsed.has_error()) {
             m_metrics.count("packets_dropped", parsed.error().subject);
             return;
         }
         summary = parsed.value();
     }
-    onEnvelope(m_relay, entry, *envelope, summary, currentTime(), *this);
+    onEnvelope(m_relay, entry, envelope, summary, currentTime(), *this);
 }
 
 void RelayAgentTask::handleTargetPacket(std::span<const std::byte> packet)
--- a/Services/RelayAgent/RelayAgentTask.h
+++ b/Services/RelayAgent/RelayAgentTask.h
@@ -35,7 +35,8 @@
     void sendReport(const Endpoint &entry, const RelayReport &report) override;
 
     void drainMailbox();
-    void handleEnvelope(std::span<const std::byte> datagram, const Endpoint &entry);
+    void handleDaemonDatagram(std::span<const std::byte> datagram, const Endpoint &entry);
+    void handleEnvelope(const RelayEnvelope &envelope, const Endpoint &entry);
     void handleTargetPacket(std::span<const std::byte> packet);
     void noteTarget(TargetSendOutcome outcome);
     void takeSettings(const RelaySettings &settings);
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -69,6 +69,7 @@
                 m_daemon.receive([&](std::span<const std::byte> datagram, const Endpoint &agent) { handleAgentDatagram(datagram, agent); });
         });
         drainMailbox();
+        sendQueries(m_relay, currentTime(), *this);
         m_daemon.flush();
         m_callers.flush();
         startReadingCallers();
@@ -124,26 +125,28 @@
         m_metrics.count("datagrams_dropped", failureKindName(message.error().kind));
         return;
     }
-    const auto now = currentTime();
-    if (const auto *report = std::get_if<RelayReport>(&message.value())) {
-        onReport(m_relay, agent, *report, now, *this);
-        return;
-    }
-    const auto *notice = std::get_if<RelayNotice>(&message.value());
-    if (notice == nullptr) {
+    if (const auto *report = std::get_if<RelayReport>(&message.value()))
+        onReport(m_relay, agent, *report, currentTime(), *this);
+    else if (const auto *answer = std::get_if<RelayAnswer>(&message.value()))
+        onAnswer(m_relay, agent, *answer, currentTime(), *this);
+    else if (const auto *notice = std::get_if<RelayNotice>(&message.value()))
+        handleNotice(*notice, agent);
+    else
         m_metrics.count("datagrams_dropped", "unexpected_message");
-        return;
-    }
+}
+
+void RelayEntryTask::handleNotice(const RelayNotice &notice, const Endpoint &agent)
+{
     std::optional<PacketSummary> returned;
-    if (!notice->packet.empty()) {
-        const auto summary = Platform::parsePacket(notice->packet, Platform::PacketOrigin::Caller);
+    if (!notice.packet.empty()) {
+        const auto summary = Platform::parsePacket(notice.packet, Platform::PacketOrigin::Caller);
         if (summary.has_error()) {
             m_metrics.count("datagrams_dropped", summary.error().subject);
             return;
         }
         returned = summary.value();
     }
-    onNotice(m_relay, agent, *notice, returned, now, *this);
+    onNotice(m_relay, agent, notice, returned, currentTime(), *this);
 }
 
 void RelayEntryTask::sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope)
@@ -151,6 +154,11 @@
     m_daemon.queue(agent, m_encoder.encode(envelope));
 }
 
+void RelayEntryTask::sendQuery(const Endpoint &agent, const RelayQuery &query)
+{
+    m_daemon.queue(agent, m_encoder.encode(query));
+}
+
 void RelayEntryTask::resetCaller(const FlowKey &flow, std::uint32_t sequence)
 {
     const auto packet = Platform::buildReset(flow, sequence);
@@ -196,7 +204,7 @@
     }
     for (const auto id : missing)
         withdrawTarget(id, listed.withdrawalGrace);
-    m_relay.hasTargetList = true;
+    noteTargetsListed(m_relay, currentTime());
     subscribeToAgents();
 }
 
@@ -206,7 +214,7 @@
     if (effect == PublicationEffect::Unchanged)
         return;
     if (effect != PublicationEffect::Updated)
-        sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}});
+        subscribeTo(target);
     EventLog("target_published")
         .with("target", target.name)
         .with("agent", toString(target.agent))
@@ -225,11 +233,16 @@
         .with("grace_ms", static_cast<std::uint64_t>(grace.count()));
 }
 
+void RelayEntryTask::subscribeTo(const PublishedTarget &target)
+{
+    sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}, 0, target.incarnation});
+}
+
 void RelayEntryTask::subscribeToAgents()
 {
     m_subscribedAt = currentTime();
     for (const auto &[id, record] : m_relay.directory.targets)
-        sendToAgent(record.published.agent, {record.published.service, EnvelopePurpose::Subscribe, {}});
+        subscribeTo(record.published);
 }
 
 void RelayEntryTask::onTick()
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -26,6 +26,7 @@
 
 private:
     void sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope) override;
+    void sendQuery(const Endpoint &agent, const RelayQuery &query) override;
     void resetCaller(const FlowKey &flow, std::uint32_t sequence) override;
     void refreshTargets() override;
     void noteDecision(const FlowKey &flow, RelayReason reason, const Endpoint &agent) override;
@@ -33,11 +34,13 @@
     void drainMailbox();
     void handleCallerPacket(std::span<const std::byte> packet);
     void handleAgentDatagram(std::span<const std::byte> datagram, const Endpoint &agent);
+    void handleNotice(const RelayNotice &notice, const Endpoint &agent);
     void takeRoutes(const RoutesOffered &offer);
     void takeTargets(const TargetsListed &listed);
     void takeTarget(const PublishedTarget &target);
     void withdrawTarget(MemberId target, Duration grace);
     void startReadingCallers();
+    void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
     void onTick();
     [[nodiscard]] bool isReady() const;
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -87,6 +87,12 @@
         receive(makePacket(), EnvelopePurpose::Forward, 5);
     }
 
+    FlowVerdict ask(int milliseconds, ServiceId service = Ledger)
+    {
+        const auto answer = answerQuery(m_agent, Entry, {service, {Flow}}, at(milliseconds));
+        return answer.findings.front().verdict;
+    }
+
     void returnToAgent(PacketSummary summary, int milliseconds)
     {
         summary.isReturned = true;
@@ -190,19 +196,41 @@
 
 TEST_F(AgentRelayTest, AnswersAQueryWithoutTheTarget)
 {
-    receive(makePacket(10), EnvelopePurpose::Query, 0);
-    EXPECT_TRUE(m_output.marks.empty());
-    // It cannot know, and says nothing.
-    EXPECT_TRUE(m_output.notices.empty());
+    EXPECT_EQ(ask(0), FlowVerdict::Unknown);
     m_agent.knowsAllFlows = true;
-    receive(makePacket(10), EnvelopePurpose::Query, 1);
-    EXPECT_EQ(m_output.notices.back().second.kind, NoticeKind::Denied);
+    EXPECT_EQ(ask(1), FlowVerdict::Denied);
     openFlow();
-    receive(makePacket(10), EnvelopePurpose::Query, 10);
-    EXPECT_EQ(m_output.notices.back().second.kind, NoticeKind::Held);
+    EXPECT_EQ(ask(10), FlowVerdict::Held);
+    EXPECT_EQ(ask(10, hashOf("catalogue")), FlowVerdict::Denied);
     EXPECT_EQ(m_output.marks.size(), 2U);
 }
 
+TEST_F(AgentRelayTest, KnowsAllFlowsOfATargetThatDidNotStartBeforeIt)
+{
+    constexpr Incarnation StartedAs = 1'767'458'771'850;
+    m_agent.startedAsRun = StartedAs;
+    const auto subscribe = [&](Incarnation run) {
+        onEnvelope(m_agent, Entry, {Ledger, EnvelopePurpose::Subscribe, {}, 0, run}, std::nullopt, at(0), m_output);
+    };
+    subscribe(0);
+    subscribe(StartedAs - 5'000);
+    EXPECT_EQ(ask(0), FlowVerdict::Unknown);
+    // Both started after the VM had lost power, the target a moment earlier.
+    subscribe(StartedAs - 40);
+    EXPECT_EQ(ask(1), FlowVerdict::Denied);
+}
+
+TEST_F(AgentRelayTest, KnowsAllFlowsOnceThePortWasClosed)
+{
+    onPortClosed(m_agent, at(0), m_output);
+    receiveFromTarget(makeSyn(), 100);
+    EXPECT_EQ(m_agent.load.state, TargetState::Answering);
+    auto other = Flow;
+    other.caller.port = 7;
+    const auto answer = answerQuery(m_agent, Entry, {Ledger, {other}}, at(200));
+    EXPECT_EQ(answer.findings.front().verdict, FlowVerdict::Denied);
+}
+
 TEST_F(AgentRelayTest, MeasuresRunningRequestsAndResponseTimes)
 {
     openFlow();
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -50,6 +50,11 @@
     };
 
     void sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope) override { sent.push_back({agent, envelope.purpose}); }
+    void sendQuery(const Endpoint &agent, const RelayQuery &query) override
+    {
+        sent.push_back({agent, EnvelopePurpose::Search});
+        queries.emplace_back(agent, query);
+    }
     void resetCaller(const FlowKey &, std::uint32_t sequence) override { resets.push_back(sequence); }
     void refreshTargets() override { ++refreshes; }
     void noteDecision(const FlowKey &, RelayReason reason, const Endpoint &) override { reasons.push_back(reason); }
@@ -57,6 +62,7 @@
     [[nodiscard]] bool hasDecided(RelayReason reason) const { return std::find(reasons.begin(), reasons.end(), reason) != reasons.end(); }
 
     std::vector<Sent> sent;
+    std::vector<std::pair<Endpoint, RelayQuery>> queries;
     std::vector<std::uint32_t> resets;
     std::vector<RelayReason> reasons;
     int refreshes = 0;
@@ -117,6 +123,11 @@
         onNotice(m_entry, agentOf(number), notice, packet, at(milliseconds), m_output);
     }
 
+    void answer(const Endpoint &agent, FlowVerdict verdict, int milliseconds, const FlowKey &flow = Flow)
+    {
+        onAnswer(m_entry, agent, {hashOf("ledger"), {}, {{flow, verdict}}}, at(milliseconds), m_output);
+    }
+
     std::uint32_t lastAgent() const { return m_output.sent.back().agent.address - 0x0a020000; }
 
     EntryRelay m_entry;
@@ -306,7 +317,8 @@
     EXPECT_EQ(m_output.sent.size(), m_entry.weights.candidates);
     for (std::size_t index = 0; index < m_entry.weights.candidates; ++index)
         notify(m_output.sent[index].agent.address - 0x0a020000, NoticeKind::Denied, 1'002);
-    EXPECT_EQ(m_output.sent.size(), m_entry.weights.candidates + m_entry.limits.searchRound);
+    EXPECT_EQ(m_output.queries.size(), Targets - m_entry.weights.candidates);
+    EXPECT_EQ(m_output.sent.size(), Targets);
 
     // The pattern: everything restarted, and every caller's packet starts a search on a thin link.
     m_entry.searchBytes = makeTokenBucket(2'000, Duration(1'000));
@@ -320,13 +332,73 @@
     EXPECT_TRUE(m_output.hasDecided(RelayReason::SearchDeferred));
 }
 
+TEST_F(EntryRelayTest, SharesQueriesAmongTheSearchesForManyDeadFlows)
+{
+    constexpr std::uint32_t Targets = 42;
+    constexpr std::uint16_t Flows = 60;
+    for (std::uint32_t number = 1; number <= Targets; ++number)
+        publish(makeTarget(number));
+    // The pattern: everything lost power, and the callers of all flows send within some milliseconds.
+    for (std::uint16_t port = 1; port <= Flows; ++port) {
+        auto data = makeData(501);
+        data.flow.caller.port = port;
+        receive(data, 2'000);
+    }
+    const auto offers = std::exchange(m_output.sent, {});
+    std::size_t asked = 0;
+    for (std::size_t index = 0; index < offers.size(); ++index) {
+        auto flow = Flow;
+        flow.caller.port = static_cast<std::uint16_t>(1 + index / m_entry.weights.candidates);
+        answer(offers[index].agent, FlowVerdict::Denied, 2'002, flow);
+    }
+    for (int time = 2'020; time <= 2'100; time += 20) {
+        sendQueries(m_entry, at(time), m_output);
+        for (const auto &[agent, query] : std::exchange(m_output.queries, {})) {
+            ++asked;
+            for (const auto &flow : query.flows)
+                answer(agent, FlowVerdict::Denied, time + 2, flow);
+        }
+    }
+    // One by one they would have taken 38 datagrams each.
+    EXPECT_LE(asked, std::size_t {3} * Targets);
+    EXPECT_EQ(m_output.resets.size(), std::size_t {Flows});
+}
+
+TEST_F(EntryRelayTest, OffersThePacketToATargetWhoseAgentCannotKnow)
+{
+    for (std::uint32_t number = 1; number <= 5; ++number)
+        publish(makeTarget(number));
+    receive(makeData(501), 2'000);
+    for (std::size_t index = 0; index < m_entry.weights.candidates; ++index)
+        answer(m_output.sent[index].agent, FlowVerdict::Denied, 2'002);
+    ASSERT_EQ(m_output.queries.size(), 1U);
+    const auto last = m_output.queries.front().first;
+    answer(last, FlowVerdict::Unknown, 2'004);
+    EXPECT_EQ(m_output.sent.back().agent, last);
+    EXPECT_TRUE(m_output.resets.empty());
+    notify(last.address - 0x0a020000, NoticeKind::Held, 2'006);
+    EXPECT_EQ(m_entry.flows.at(Flow).agent, last);
+}
+
+TEST_F(EntryRelayTest, ResetsADeadFlowAtOnceWhenItCannotBeAtATargetThatWasJustListed)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeData(501), 2'000);
+    notify(1, NoticeKind::Denied, 2'002);
+    notify(2, NoticeKind::Denied, 2'002);
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    EXPECT_EQ(m_output.refreshes, 0);
+}
+
 TEST_F(EntryRelayTest, QueriesAgentsOfOtherServicesWhileItCannotKnowFormerRoutes)
 {
     publish(makeTarget(1));
     publish(makeTarget(2, "catalogue"));
     auto plan = planSearch(m_entry, Flow, at(1'000));
     ASSERT_EQ(plan.agents.size(), 2U);
-    EXPECT_EQ(plan.agents[1].purpose, EnvelopePurpose::Query);
+    EXPECT_TRUE(plan.agents[0].mayGetPackets);
+    EXPECT_FALSE(plan.agents[1].mayGetPackets);
     // A target that was listed after the routes were written cannot hold flows of former ones.
     auto later = makeTarget(3, "catalogue");
     later.listingRevision = 11;
@@ -345,7 +417,7 @@
     ASSERT_TRUE(setRoutes(m_entry, routes, at(0)));
     const auto plan = planSearch(m_entry, Flow, at(70'000));
     EXPECT_EQ(plan.agents.size(), 2U);
-    EXPECT_EQ(plan.agents[1].purpose, EnvelopePurpose::Search);
+    EXPECT_TRUE(plan.agents[1].mayGetPackets);
 }
 
 TEST_F(EntryRelayTest, IgnoresOlderRoutes)
@@ -365,7 +437,27 @@
     auto next = makeTarget(1);
     next.incarnation = 2;
     publish(next, 1'000);
+    ASSERT_EQ(m_output.queries.size(), 1U);
+    answer(agentOf(1), FlowVerdict::Denied, 1'002);
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    EXPECT_TRUE(m_output.hasDecided(RelayReason::TargetGone));
+}
+
+TEST_F(EntryRelayTest, KeepsAFlowThatOpenedAtTheNextTargetBeforeItsListingWasRead)
+{
+    // The pattern: everything restarted, and a target takes flows before the news of its restart arrives here.
+    publish(makeTarget(1));
+    receive(makeSyn(), 0);
+    notify(1, NoticeKind::Accepted, 2, {}, 500);
+    receive(makeData(501), 4);
+    auto next = makeTarget(2);
+    next.agent = agentOf(1);
+    next.incarnation = 2;
+    publish(next, 700);
+    answer(agentOf(1), FlowVerdict::Held, 702);
+    EXPECT_TRUE(m_output.resets.empty());
+    receive(makeData(501), 800);
+    EXPECT_EQ(lastAgent(), 1U);
 }
 
 TEST_F(EntryRelayTest, KeepsAWithdrawnTargetWhileItMayBeListedAgain)
--- a/Tests/LibProtocol/TestRelayCodec.cpp
+++ b/Tests/LibProtocol/TestRelayCodec.cpp
@@ -1,5 +1,7 @@
 #include "LibProtocol/RelayCodec.h"
 
+#include "LibCoordination/QueryBatches.h"
+
 #include <gtest/gtest.h>
 
 #include <random>
@@ -54,6 +56,53 @@
     EXPECT_EQ(std::get<RelayReport>(report.value()).load, notice.load);
 }
 
+TEST(RelayCodec, CarriesQueriesAndAnswers)
+{
+    const FlowKey flow {{0x64400007, 40'001}, {0xc6120001, 443}};
+    RelayEncoder encoder;
+    const auto query = decodeRelayDatagram(encoder.encode(RelayQuery {12, {flow, {}, flow}}));
+    ASSERT_TRUE(query.has_value());
+    EXPECT_EQ(std::get<RelayQuery>(query.value()).service, 12U);
+    EXPECT_EQ(std::get<RelayQuery>(query.value()).flows, (std::vector<FlowKey> {flow, {}, flow}));
+
+    const std::vector<FlowFinding> findings {{flow, FlowVerdict::Held}, {{}, FlowVerdict::Denied}, {flow, FlowVerdict::Unknown}};
+    const auto answer = decodeRelayDatagram(encoder.encode(RelayAnswer {12, {1, 2, 3, TargetState::Closed}, findings}));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(std::get<RelayAnswer>(answer.value()).findings, findings);
+    EXPECT_EQ(std::get<RelayAnswer>(answer.value()).load.state, TargetState::Closed);
+}
+
+TEST(RelayCodec, FitsFullQueriesAndTheirAnswersIntoADatagram)
+{
+    RelayEncoder encoder;
+    const auto count = QueryLimits {}.flowsInQuery;
+    EXPECT_LE(encoder.encode(RelayQuery {12, std::vector<FlowKey>(count)}).size(), RelayDatagramLimit);
+    EXPECT_LE(encoder.encode(RelayAnswer {12, {}, std::vector<FlowFinding>(count)}).size(), RelayDatagramLimit);
+}
+
+TEST(RelayCodec, SurvivesAMillionChangedAnswers)
+{
+    constexpr int Inputs = 1'000'000;
+    std::mt19937_64 random(6);
+    RelayEncoder encoder;
+    const auto encoded = encoder.encode(RelayAnswer {12, {}, std::vector<FlowFinding>(8)});
+    const std::vector<std::byte> original(encoded.begin(), encoded.end());
+    int refused = 0;
+    for (int input = 0; input < Inputs; ++input) {
+        auto changed = original;
+        for (int change = 0; change < 3; ++change)
+            changed[random() % changed.size()] = static_cast<std::byte>(random());
+        const auto message = decodeRelayDatagram(changed);
+        refused += message.has_error() ? 1 : 0;
+        if (message.has_error())
+            continue;
+        if (const auto *answer = std::get_if<RelayAnswer>(&message.value())) {
+            EXPECT_LE(answer->findings.size() * sizeof(FlowFinding), changed.size());
+        }
+    }
+    EXPECT_GT(refused, 0);
+}
+
 TEST(RelayCodec, RefusesTruncatedAndOversizedDatagrams)
 {
     RelayEncoder encoder;
