LibCoordination: Notice agents that are out of reach; LibCoordination: Ask again without the caller

Change: an agent that left a question unanswered for 1 s is out of reach, for 0.25 s when its target is no longer listed. Flows whose requests may be repeated are then reset: those searched for, and open ones whose caller repeats itself. Others are left alone, since their target may still answer. An agent that stops looks whether its target still listens, and says so when it does not; a leaving target whose port is closed is gone. Searches go on by themselves, ten times a second, instead of with the caller's next packet.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -154,8 +154,28 @@
     output.noteDecision(summary.flow, RelayReason::Opened, flow.agent);
 }
 
-void forwardOpen(const PacketSummary &summary, EntryFlow &flow, std::span<const std::byte> packet, EntryOutput &output)
+/// Notes whether the caller repeats its data because nothing comes back, and asks the agent whether it is there.
+void noteProgress(EntryRelay &entry, const PacketSummary &summary, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
+    flow.isUnanswered = summary.length > 0 && flow.dataSequence == summary.sequence;
+    if (summary.length > 0)
+        flow.dataSequence = summary.sequence;
+    if (flow.isUnanswered)
+        askWhetherThere(entry, flow.agent, flow.service, now, output);
+}
+
+void forwardOpen(EntryRelay &entry,
+                 const PacketSummary &summary,
+                 EntryFlow &flow,
+                 std::span<const std::byte> packet,
+                 TimePoint now,
+                 EntryOutput &output)
+{
+    noteProgress(entry, summary, flow, now, output);
+    if (isOutOfReach(entry, summary.flow, flow.agent, now) && !summary.isReset) {
+        endFlow(summary.flow, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+        return;
+    }
     output.sendToAgent(flow.agent, {flow.service, EnvelopePurpose::Forward, packet});
     if (summary.isFin || summary.isReset)
         flow.isFinished = true;
@@ -199,10 +219,10 @@
             return;
         }
         settleOwner(summary, flow, now, output);
-        forwardOpen(summary, flow, packet, output);
+        forwardOpen(entry, summary, flow, packet, now, output);
         return;
     case EntryFlowStage::Open:
-        forwardOpen(summary, flow, packet, output);
+        forwardOpen(entry, summary, flow, packet, now, output);
         return;
     case EntryFlowStage::Searching:
         continueSearch(entry, summary, flow, packet, now, output);
@@ -317,14 +337,6 @@
         endFlow(finding.flow, flow, RelayReason::TargetGone, flow.acknowledged, now, output);
 }
 
-bool isForgettable(const EntryRelay &entry, const EntryFlow &flow, TimePoint now)
-{
-    const auto idle = now - flow.seenAt;
-    if (flow.stage == EntryFlowStage::Ended || flow.isFinished || flow.stage == EntryFlowStage::Opening)
-        return idle >= entry.limits.endedTime;
-    return idle >= entry.limits.idleTime;
-}
-
 } // namespace
 
 bool isInformed(const EntryRelay &entry)
@@ -385,8 +397,13 @@
 void onReport(EntryRelay &entry, const Endpoint &agent, const RelayReport &report, TimePoint now, EntryOutput &output)
 {
     applyLoad(entry.directory, agent, report.service, report.load, now);
-    if (report.load.state == TargetState::Closed)
-        endFlowsAt(entry, agent, now, output);
+    if (report.load.state != TargetState::Closed)
+        return;
+    endFlowsAt(entry, agent, now, output);
+    for (auto &[key, flow] : entry.flows) {
+        if (flow.stage == EntryFlowStage::Searching)
+            onDenied(entry, agent, key, flow, now, output);
+    }
 }
 
 void onAnswer(EntryRelay &entry, const Endpoint &agent, const RelayAnswer &answer, TimePoint now, EntryOutput &output)
@@ -445,16 +462,4 @@
     return effect;
 }
 
-void onEntryTick(EntryRelay &entry, TimePoint now, EntryOutput &output)
-{
-    for (const auto &[id, record] : entry.directory.targets) {
-        if (isGone(entry.directory, record, now))
-            endFlowsAt(entry, record.published.agent, now, output);
-    }
-    reviewVerdicts(entry, now, output);
-    forgetIdleBatches(entry.queries, now);
-    forgetDeparted(entry.directory, now);
-    std::erase_if(entry.flows, [&](const auto &flow) { return isForgettable(entry, flow.second, now); });
-}
-
 } // namespace Papaya
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -43,6 +43,8 @@
     Duration watchLatency {150};
     /// No flow is older. For this long after its start an entry daemon cannot know which services a route had before.
     Duration flowLifetime {62'000};
+    /// An agent that was heard within this time is not asked whether it is there.
+    Duration freshTime {200};
     /// Agents of services that the flow's route does not have, as far as is known, that are asked about it at the most.
     std::size_t unrelatedAgents = 256;
 };
@@ -89,6 +91,9 @@
     bool isFinished = false;
     /// The last sequence number that the caller expected; a reset has to be near it.
     std::uint32_t acknowledged = 0;
+    /// Where the caller's last data began, and whether the caller has repeated it since, so that nothing has come back.
+    std::optional<std::uint32_t> dataSequence;
+    bool isUnanswered = false;
     TimePoint changedAt;
     TimePoint seenAt;
     /// While searching: when the search began.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -37,6 +37,7 @@
             break;
         candidate.sentAt = now;
         candidate.wasOffered = true;
+        noteAsked(entry.directory, candidate.agent, now);
         output.sendToAgent(candidate.agent, {candidate.service, EnvelopePurpose::Search, packet});
         ++offered;
     }
@@ -85,6 +86,23 @@
     output.refreshTargets();
 }
 
+/// Returns whether no agent that was asked can be expected to answer yet.
+bool hasNoneLeft(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow, TimePoint now)
+{
+    return std::all_of(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) {
+        return isOutOfReach(entry, key, candidate.agent, now);
+    });
+}
+
+/// Ends a search whose agents were all asked, unless one of them may still answer.
+void conclude(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+{
+    if (flow.candidates.empty())
+        concludeDenied(entry, key, flow, now, output);
+    else if (hasNoneLeft(entry, key, flow, now))
+        endFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+}
+
 /// Returns the agents of the plan that were not asked yet.
 std::vector<FlowCandidate> unaskedAgents(const SearchPlan &plan, const EntryFlow &flow)
 {
@@ -105,8 +123,8 @@
     const auto plan = planSearch(entry, key, now);
     auto unasked = unaskedAgents(plan, flow);
     if (unasked.empty()) {
-        if (flow.candidates.empty() && plan.isComplete && !plan.agents.empty())
-            concludeDenied(entry, key, flow, now, output);
+        if (plan.isComplete && !plan.agents.empty())
+            conclude(entry, key, flow, now, output);
         return;
     }
     const bool isFirstRound = flow.candidates.empty() && flow.deniedBy.empty();
@@ -116,6 +134,8 @@
         sendQueries(entry, now, output);
         return;
     }
+    std::stable_partition(
+        unasked.begin(), unasked.end(), [&](const FlowCandidate &agent) { return !isOutOfReach(entry, key, agent.agent, now); });
     unasked.resize(std::min(unasked.size(), entry.weights.candidates));
     const auto offered = offerPacket(entry, unasked, flow.heldPackets.front(), now, output);
     if (offered < unasked.size())
@@ -224,7 +244,7 @@
     if (std::erase_if(flow.candidates, [&](const FlowCandidate &candidate) { return candidate.agent == agent; }) == 0)
         return;
     flow.deniedBy.push_back(agent);
-    if (flow.candidates.empty())
+    if (hasNoneLeft(entry, key, flow, now))
         askNextRound(entry, key, flow, now, output);
 }
 
@@ -258,10 +278,40 @@
             noteAnswered(entry.queries, agent);
             continue;
         }
+        noteAsked(entry.directory, agent, now);
         output.sendQuery(agent, query);
     }
 }
 
+void reviewSearch(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+{
+    if (flow.candidates.empty() || flow.heldPackets.empty() || now - flow.changedAt < entry.limits.searchRetry)
+        return;
+    flow.changedAt = now;
+    forgetGone(entry, key, flow, now);
+    repeatQuestions(entry, key, flow, now, output);
+    askNextRound(entry, key, flow, now, output);
+}
+
+void askWhetherThere(EntryRelay &entry, const Endpoint &agent, ServiceId service, TimePoint now, EntryOutput &output)
+{
+    const auto *record = findByAgent(entry.directory, agent);
+    const bool isFresh = record != nullptr && record->heardAt && now - *record->heardAt < entry.limits.freshTime;
+    if (record == nullptr || record->askedAt || isFresh)
+        return;
+    noteAsked(entry.directory, agent, now);
+    output.sendQuery(agent, {service, {}});
+}
+
+bool isOutOfReach(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent, TimePoint now)
+{
+    const auto route = entry.routes.routes.find(flow.service);
+    if (route == entry.routes.routes.end() || !route->second.isRepeatable)
+        return false;
+    const auto *record = findByAgent(entry.directory, agent);
+    return record != nullptr && isUnreachable(entry.directory, *record, now);
+}
+
 void reviewVerdicts(EntryRelay &entry, TimePoint now, EntryOutput &output)
 {
     for (const auto &key : std::exchange(entry.awaitingVerdict, {})) {
--- a/Libraries/LibCoordination/EntrySearch.h
+++ b/Libraries/LibCoordination/EntrySearch.h
@@ -35,6 +35,17 @@
 /// between for QueryLimits::gatherTime.
 void sendQueries(EntryRelay &entry, TimePoint now, EntryOutput &output);
 
+/// Goes on with a search whose caller may not send for a while: agents that have not answered are asked again, and those out of
+/// reach are left out if the caller may repeat its request. Call some times a second.
+void reviewSearch(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output);
+
+/// Asks an agent whether it is there, unless it was heard a moment ago or is being asked.
+void askWhetherThere(EntryRelay &entry, const Endpoint &agent, ServiceId service, TimePoint now, EntryOutput &output);
+
+/// Returns whether an agent is out of reach and the requests of the flow's route may be repeated. A flow whose request must not run
+/// twice is left alone, since its target may still answer.
+[[nodiscard]] bool isOutOfReach(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent, TimePoint now);
+
 /// Ends the searches whose last denial waited for the list of targets to be current.
 void reviewVerdicts(EntryRelay &entry, TimePoint now, EntryOutput &output);
 
--- a/Libraries/LibCoordination/RelayReason.cpp
+++ b/Libraries/LibCoordination/RelayReason.cpp
@@ -37,6 +37,8 @@
         return "held_by_nobody";
     case RelayReason::TargetGone:
         return "target_gone";
+    case RelayReason::AgentUnreachable:
+        return "agent_unreachable";
     case RelayReason::RouteNotYetKnown:
         return "route_not_yet_known";
     case RelayReason::TooManyHeld:
--- a/Libraries/LibCoordination/RelayReason.h
+++ b/Libraries/LibCoordination/RelayReason.h
@@ -39,6 +39,9 @@
     HeldByNobody,
     /// The flow was reset: its target is gone.
     TargetGone,
+    /// The flow was reset: its target's agent, or an agent that may know of it, has not answered for too long, and the caller may
+    /// repeat its request elsewhere.
+    AgentUnreachable,
     /// The packet was dropped: it may belong to a route that is not known here yet.
     RouteNotYetKnown,
     /// The packet was dropped: its flow is being searched for and enough packets wait.
@@ -47,7 +50,7 @@
     TableFull,
 };
 
-inline constexpr std::size_t RelayReasonCount = 19;
+inline constexpr std::size_t RelayReasonCount = 20;
 
 /// Returns the stable name of a reason for logs and counters.
 [[nodiscard]] std::string_view relayReasonName(RelayReason reason);
--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -1,6 +1,7 @@
 #include "LibCoordination/TargetDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Papaya {
 
@@ -124,13 +125,30 @@
 void applyLoad(TargetDirectory &directory, const Endpoint &agent, ServiceId service, const TargetLoad &load, TimePoint now)
 {
     auto *record = findByAgent(directory, agent);
-    if (record == nullptr || record->published.service != service)
+    if (record == nullptr)
+        return;
+    record->askedAt.reset();
+    if (record->published.service != service)
         return;
     record->load = load;
     record->heardAt = now;
     record->placedSinceReport = 0;
 }
 
+void noteAsked(TargetDirectory &directory, const Endpoint &agent, TimePoint now)
+{
+    auto *record = findByAgent(directory, agent);
+    if (record != nullptr && !record->askedAt)
+        record->askedAt = now;
+}
+
+bool isUnreachable(const TargetDirectory &directory, const TargetRecord &record, TimePoint now)
+{
+    const bool hasDeparted = record.departedAt && *record.departedAt <= now;
+    const auto limit = hasDeparted ? directory.limits.departedAnswerTime : directory.limits.answerTime;
+    return record.askedAt && now - *record.askedAt >= limit;
+}
+
 void suspect(TargetDirectory &directory, const Endpoint &agent, TimePoint now)
 {
     auto *record = findByAgent(directory, agent);
@@ -151,6 +169,11 @@
 }
 
 TargetRecord *findByAgent(TargetDirectory &directory, const Endpoint &agent)
+{
+    return const_cast<TargetRecord *>(findByAgent(std::as_const(directory), agent));
+}
+
+const TargetRecord *findByAgent(const TargetDirectory &directory, const Endpoint &agent)
 {
     const auto target = directory.targetOfAgent.find(agent);
     if (target == directory.targetOfAgent.end())
@@ -161,6 +184,9 @@
 
 bool isGone(const TargetDirectory &directory, const TargetRecord &record, TimePoint now)
 {
+    // A target that was leaving and whose port is closed does not come back; a new run would be published as such.
+    if (record.published.isDraining && record.load.state == TargetState::Closed)
+        return true;
     if (!record.departedAt || now - *record.departedAt < directory.limits.agentSilence)
         return false;
     const bool isAgentSilent = !record.heardAt || now - *record.heardAt >= directory.limits.agentSilence;
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -44,6 +44,8 @@
     TargetLoad load;
     /// When its agent was last heard; nothing before the first word.
     std::optional<TimePoint> heardAt;
+    /// When its agent was first asked something that it has not answered.
+    std::optional<TimePoint> askedAt;
     /// New flows that were sent there since the last report, which therefore does not count them.
     std::uint32_t placedSinceReport = 0;
     /// While this lies ahead, the target gets no new flows, since it did not answer an earlier one.
@@ -65,6 +67,10 @@
     Duration agentSilence {3'000};
     /// Until a target that was just listed counts as known everywhere: the pause between two watches and what a watch may take.
     Duration settleTime {1'200};
+    /// An agent that left a question unanswered for this long is out of reach. A process is started again within half of it.
+    Duration answerTime {1'000};
+    /// The same for the agent of a target that the platform no longer lists: both end together.
+    Duration departedAnswerTime {250};
 };
 
 /// The targets known to one entry daemon.
@@ -103,6 +109,12 @@
 /// Notes an agent's word on the load of its target. An agent that serves another service than its target was published for is ignored.
 void applyLoad(TargetDirectory &directory, const Endpoint &agent, ServiceId service, const TargetLoad &load, TimePoint now);
 
+/// Notes that an agent was asked something that it answers at once.
+void noteAsked(TargetDirectory &directory, const Endpoint &agent, TimePoint now);
+
+/// Returns whether an agent has left a question unanswered for too long.
+[[nodiscard]] bool isUnreachable(const TargetDirectory &directory, const TargetRecord &record, TimePoint now);
+
 /// Notes that a target left a new flow unanswered.
 void suspect(TargetDirectory &directory, const Endpoint &agent, TimePoint now);
 
@@ -111,6 +123,7 @@
 
 /// Returns the record that an agent's address stands for, or nothing.
 [[nodiscard]] TargetRecord *findByAgent(TargetDirectory &directory, const Endpoint &agent);
+[[nodiscard]] const TargetRecord *findByAgent(const TargetDirectory &directory, const Endpoint &agent);
 
 /// Returns whether all flows of a target are certainly gone with it.
 [[nodiscard]] bool isGone(const TargetDirectory &directory, const TargetRecord &record, TimePoint now);
--- a/Libraries/LibEmulator/RelayWorld.cpp
+++ b/Libraries/LibEmulator/RelayWorld.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint16_t ApplicationPort = 8'165;
 constexpr std::uint32_t FirstEntryAddress = 0x0a010001;
 constexpr std::uint32_t FirstTargetAddress = 0x0a020001;
-constexpr Duration EntryTick {200};
+constexpr Duration EntryTick {100};
 constexpr Duration AgentTick {100};
 /// How often an entry daemon looks for queries that are due.
 constexpr Duration EntryPoll {20};
@@ -42,7 +42,7 @@
 
 Route makeRoute(const Endpoint &address, const std::string &service)
 {
-    return {service, address, {{hashOf(service), service, 1}}};
+    return {service, address, {{hashOf(service), service, 1}}, true};
 }
 
 /// An entry daemon: its decisions, carried out on the emulated network.
--- a/Libraries/LibEmulator/RelayWorld.h
+++ b/Libraries/LibEmulator/RelayWorld.h
@@ -39,7 +39,7 @@
 /// Makes the traits of a service's targets, at addresses that no other service has.
 [[nodiscard]] std::vector<TargetTraits> makeTargets(const std::string &service, std::size_t count, std::span<const double> speeds);
 
-/// Makes a route with one service.
+/// Makes a route with one service, whose requests may be repeated.
 [[nodiscard]] Route makeRoute(const Endpoint &address, const std::string &service);
 
 /// Drives the very decisions and the codec of the relaying daemons in virtual time, between emulated callers and targets, behind
--- a/Libraries/LibState/RouteTable.h
+++ b/Libraries/LibState/RouteTable.h
@@ -23,6 +23,8 @@
     std::string name;
     Endpoint address;
     std::vector<WeightedService> services;
+    /// Whether callers repeat the requests of this route when a flow is reset.
+    bool isRepeatable = false;
 
     bool operator==(const Route &) const = default;
 };
--- a/Libraries/LibTransport/StreamSocket.cpp
+++ b/Libraries/LibTransport/StreamSocket.cpp
@@ -3,6 +3,7 @@
 #include "LibTransport/SocketAddress.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -84,6 +85,17 @@
     return errno == ENOTCONN ? ConnectProgress::Pending : ConnectProgress::Failed;
 }
 
+ConnectProgress tryConnect(const Endpoint &endpoint, Duration limit)
+{
+    const auto stream = connectStream(endpoint);
+    if (stream.has_error())
+        return ConnectProgress::Failed;
+    pollfd waiting {stream.value().get(), POLLOUT, 0};
+    if (::poll(&waiting, 1, static_cast<int>(limit.count())) <= 0)
+        return ConnectProgress::Pending;
+    return connectProgress(stream.value());
+}
+
 StreamTransfer readStream(const FileDescriptor &stream, std::span<std::byte> buffer)
 {
     const auto size = ::recv(stream.get(), buffer.data(), buffer.size(), MSG_DONTWAIT);
--- a/Libraries/LibTransport/StreamSocket.h
+++ b/Libraries/LibTransport/StreamSocket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibState/Clock.h"
 #include "LibState/Endpoint.h"
 #include "LibTransport/FileDescriptor.h"
 
@@ -47,6 +48,9 @@
 /// Returns how far a connection attempt has come.
 [[nodiscard]] ConnectProgress connectProgress(const FileDescriptor &stream);
 
+/// Connects and closes again, to see whether anything listens. Waits at most `limit`; Pending when nothing was known by then.
+[[nodiscard]] ConnectProgress tryConnect(const Endpoint &endpoint, Duration limit);
+
 /// Reads what is there, at most the buffer's size.
 [[nodiscard]] StreamTransfer readStream(const FileDescriptor &stream, std::span<std::byte> buffer);
 
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -1,6 +1,7 @@
 #include "RelayAgentTask.h"
 
 #include "LibTransport/MonotonicClock.h"
+#include "LibTransport/StreamSocket.h"
 #include "LibTransport/WallClock.h"
 #include "platform/PacketCodec.h"
 
@@ -16,6 +17,8 @@
 constexpr std::uint64_t OutboundToken = 2;
 constexpr Duration PollTime {20};
 constexpr int NoticeLinesPerSecond = 20;
+/// A target on the same VM accepts or refuses a connection at once.
+constexpr Duration TargetCheckTime {50};
 
 std::string_view targetStateName(TargetState state)
 {
@@ -82,10 +85,21 @@
                     return ExplainReport {nlohmann::json({{"flow", question.flow}}).dump()};
                 },
                 // The target cannot do without an agent, so the sooner the next one starts, the better.
-                [&](Stop) { m_isStopped = true; });
+                [&](Stop) { onStop(); });
     }
 }
 
+void RelayAgentTask::onStop()
+{
+    m_isStopped = true;
+    // An agent is stopped with its VM after the target has ended, or for a restart while the target goes on. Entry daemons that
+    // are told of the former reset the flows at once, and do not wait for this agent when they search.
+    const bool hasEnded = tryConnect(m_settings.target, TargetCheckTime) == ConnectProgress::Failed;
+    if (hasEnded)
+        onPortClosed(m_relay, currentTime(), *this);
+    EventLog("target_checked").with("cause", "stop").with("outcome", hasEnded ? "closed" : "open");
+}
+
 void RelayAgentTask::handleDaemonDatagram(std::span<const std::byte> datagram, const Endpoint &entry)
 {
     const auto message = decodeRelayDatagram(datagram);
--- a/Services/RelayAgent/RelayAgentTask.h
+++ b/Services/RelayAgent/RelayAgentTask.h
@@ -35,6 +35,7 @@
     void sendReport(const Endpoint &entry, const RelayReport &report) override;
 
     void drainMailbox();
+    void onStop();
     void handleDaemonDatagram(std::span<const std::byte> datagram, const Endpoint &entry);
     void handleEnvelope(const RelayEnvelope &envelope, const Endpoint &entry);
     void handleTargetPacket(std::span<const std::byte> packet);
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -181,6 +181,9 @@
     line.with("flow", toString(flow)).with("reason", relayReasonName(reason)).with("routes", m_relay.routes.version);
     if (agent != Endpoint {})
         line.with("agent", toString(agent));
+    const auto known = m_relay.flows.find(flow);
+    if (known != m_relay.flows.end() && (reason == RelayReason::HeldByNobody || reason == RelayReason::SearchFound))
+        line.with("search_ms", static_cast<std::uint64_t>((currentTime() - known->second.searchedSince).count()));
 }
 
 void RelayEntryTask::takeRoutes(const RoutesOffered &offer)
--- a/Services/RelayEntry/main.cpp
+++ b/Services/RelayEntry/main.cpp
@@ -30,7 +30,7 @@
         "papaya-relay-entryd",
         "Passes callers' packets to the agents of the targets that hold their flows.\nUsage: papaya-relay-entryd --settings FILE",
         Papaya::RelayRole::Entry,
-        Papaya::Duration(200),
+        Papaya::Duration(100),
         spawnEntryTask,
     };
     return Papaya::runRelayProgram(argc, argv, description);
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -364,6 +364,95 @@
     EXPECT_EQ(m_output.resets.size(), std::size_t {Flows});
 }
 
+TEST_F(EntryRelayTest, ResetsADeadFlowThatOnlyAnUnreachableAgentHasNotDenied)
+{
+    // The pattern: everything lost power, and a VM that was leaving does not come back, though its target is still listed.
+    m_entry.routes.routes[ServiceAddress].isRepeatable = true;
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeData(501), 2'000);
+    notify(1, NoticeKind::Denied, 2'002);
+    onEntryTick(m_entry, at(2'400), m_output);
+    EXPECT_TRUE(m_output.resets.empty());
+    EXPECT_EQ(lastAgent(), 2U);
+    onEntryTick(m_entry, at(3'000), m_output);
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    EXPECT_TRUE(m_output.hasDecided(RelayReason::AgentUnreachable));
+
+    // The next one does not wait for it.
+    auto next = makeData(777);
+    next.flow.caller.port = 2;
+    receive(next, 3'100);
+    onDenied(m_entry, agentOf(1), next.flow, m_entry.flows.at(next.flow), at(3'102), m_output);
+    EXPECT_EQ(m_output.resets.back(), 777U);
+}
+
+TEST_F(EntryRelayTest, WaitsLessForAnAgentWhoseTargetHasLeft)
+{
+    // The pattern: targets are replaced one after the other, and callers still send on flows that everybody else denies.
+    m_entry.routes.routes[ServiceAddress].isRepeatable = true;
+    publish(makeTarget(1));
+    auto leaving = makeTarget(2);
+    leaving.isDraining = true;
+    publish(leaving);
+    receive(makeData(501), 2'000);
+    notify(1, NoticeKind::Denied, 2'002);
+    onEntryTick(m_entry, at(2'200), m_output);
+    EXPECT_TRUE(m_output.resets.empty());
+    (void)applyDeparted(m_entry.directory, leaving.id, at(2'210));
+    onEntryTick(m_entry, at(2'400), m_output);
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+}
+
+TEST_F(EntryRelayTest, TakesTheLastWordOfAnAgentWhoseTargetHasLeft)
+{
+    publish(makeTarget(1));
+    auto leaving = makeTarget(2);
+    leaving.isDraining = true;
+    publish(leaving);
+    receive(makeData(501), 2'000);
+    notify(1, NoticeKind::Denied, 2'002);
+    EXPECT_TRUE(m_output.resets.empty());
+    onReport(m_entry, agentOf(2), {hashOf("ledger"), {0, 0, 0, TargetState::Closed}}, at(2'050), m_output);
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    auto next = makeData(777);
+    next.flow.caller.port = 2;
+    receive(next, 2'100);
+    EXPECT_EQ(lastAgent(), 1U);
+    onDenied(m_entry, agentOf(1), next.flow, m_entry.flows.at(next.flow), at(2'102), m_output);
+    EXPECT_EQ(m_output.resets.back(), 777U);
+}
+
+TEST_F(EntryRelayTest, LeavesAFlowAloneWhoseRequestMustNotRunTwice)
+{
+    publish(makeTarget(1));
+    receive(makeData(501), 2'000);
+    onEntryTick(m_entry, at(4'000), m_output);
+    EXPECT_TRUE(m_output.resets.empty());
+}
+
+TEST_F(EntryRelayTest, ResetsAnOpenFlowWhoseCallerRepeatsItselfWhileTheAgentIsSilent)
+{
+    m_entry.routes.routes[ServiceAddress].isRepeatable = true;
+    publish(makeTarget(1));
+    receive(makeSyn(), 0);
+    notify(1, NoticeKind::Accepted, 2, {}, 500);
+    auto data = makeData(501);
+    data.sequence = 900;
+    receive(data, 2'000);
+    receive(data, 2'200);
+    ASSERT_EQ(m_output.queries.size(), 1U);
+    // An answer of the agent shows that the target only takes its time.
+    onAnswer(m_entry, agentOf(1), {hashOf("ledger"), {}, {}}, at(2'202), m_output);
+    onEntryTick(m_entry, at(3'300), m_output);
+    EXPECT_TRUE(m_output.resets.empty());
+
+    receive(data, 3'400);
+    onEntryTick(m_entry, at(4'400), m_output);
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    EXPECT_TRUE(m_output.hasDecided(RelayReason::AgentUnreachable));
+}
+
 TEST_F(EntryRelayTest, OffersThePacketToATargetWhoseAgentCannotKnow)
 {
     for (std::uint32_t number = 1; number <= 5; ++number)
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -66,6 +66,20 @@
     EXPECT_EQ(table.value().routes.at(parseEndpoint("198.18.0.2:443").value()).services[0].service, hashOf("catalogue"));
 }
 
+TEST(Translation, ReadsWhichRequestsMayBeRepeated)
+{
+    const auto isRepeatable = [](const std::string &kind) {
+        const auto text = R"({"Version":7,"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/443/",)" + kind + R"("Service":"ledger"}]})";
+        const auto table = parseRouteTable(text);
+        return table.has_value() && table.value().routes.begin()->second.isRepeatable;
+    };
+    EXPECT_TRUE(isRepeatable(R"("Kind":"idempotent",)"));
+    EXPECT_TRUE(isRepeatable(R"("Kind":"download",)"));
+    EXPECT_FALSE(isRepeatable(R"("Kind":"non_idempotent",)"));
+    EXPECT_FALSE(isRepeatable(R"("Kind":7,)"));
+    EXPECT_FALSE(isRepeatable(""));
+}
+
 TEST(Translation, RefusesRoutesThatAreNotWhole)
 {
     for (const auto *text : {"",
