RelayEntry: Learn routes and targets from other entry daemons while the platform is away

Entry daemons that had been restarted while the store was down knew nothing, and dropped packets of open flows, since more than half of their zones were such and the fabric used all of them.

It never replaces what the store said, and no flow is reset on its account, since the list does not count as current.

Ruled out: waiting longer before the first reading (the store was down 5.8 s).

--- /dev/null
+++ b/Libraries/LibProtocol/KnowledgeCodec.cpp
@@ -0,0 +1,140 @@
+#include "LibProtocol/KnowledgeCodec.h"
+
+#include "Generated/Knowledge_generated.h"
+
+namespace Papaya {
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+constexpr std::size_t FirstBufferSize = std::size_t {16} * 1'024;
+
+KnowledgeWire::Address toWire(const Endpoint &endpoint)
+{
+    return {endpoint.address, endpoint.port};
+}
+
+Endpoint fromWire(const KnowledgeWire::Address *address)
+{
+    return address == nullptr ? Endpoint {} : Endpoint {address->address(), address->port()};
+}
+
+std::string fromWire(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string {} : text->str();
+}
+
+flatbuffers::Offset<KnowledgeWire::Route> write(Builder &builder, const Route &route)
+{
+    std::vector<flatbuffers::Offset<KnowledgeWire::Service>> services;
+    for (const auto &service : route.services)
+        services.push_back(KnowledgeWire::CreateService(builder, builder.CreateString(service.name), service.weight));
+    const auto name = builder.CreateString(route.name);
+    const auto list = builder.CreateVector(services);
+    const auto address = toWire(route.address);
+    return KnowledgeWire::CreateRoute(builder, name, &address, list, route.isRepeatable);
+}
+
+flatbuffers::Offset<KnowledgeWire::Target> write(Builder &builder, const PublishedTarget &target)
+{
+    const auto name = builder.CreateString(target.name);
+    const auto failureDomain = builder.CreateString(target.failureDomain);
+    const auto application = toWire(target.application);
+    const auto agent = toWire(target.agent);
+    KnowledgeWire::TargetBuilder wire(builder);
+    wire.add_id(target.id);
+    wire.add_name(name);
+    wire.add_service(target.service);
+    wire.add_application(&application);
+    wire.add_agent(&agent);
+    wire.add_failure_domain(failureDomain);
+    wire.add_slots(target.slots);
+    wire.add_is_draining(target.isDraining);
+    wire.add_cold_ms(static_cast<std::uint32_t>(target.coldTime.count()));
+    wire.add_incarnation(target.incarnation);
+    wire.add_listing_revision(target.listingRevision);
+    return wire.Finish();
+}
+
+Route read(const KnowledgeWire::Route &wire)
+{
+    Route route;
+    route.name = fromWire(wire.name());
+    route.address = fromWire(wire.address());
+    route.isRepeatable = wire.is_repeatable();
+    if (wire.services() == nullptr)
+        return route;
+    for (const auto *service : *wire.services()) {
+        auto name = fromWire(service->name());
+        const auto id = hashOf(name);
+        route.services.push_back({id, std::move(name), service->weight()});
+    }
+    return route;
+}
+
+PublishedTarget read(const KnowledgeWire::Target &wire)
+{
+    PublishedTarget target;
+    target.id = wire.id();
+    target.name = fromWire(wire.name());
+    target.service = wire.service();
+    target.application = fromWire(wire.application());
+    target.agent = fromWire(wire.agent());
+    target.failureDomain = fromWire(wire.failure_domain());
+    target.slots = wire.slots();
+    target.isDraining = wire.is_draining();
+    target.coldTime = Duration(wire.cold_ms());
+    target.incarnation = wire.incarnation();
+    target.listingRevision = wire.listing_revision();
+    return target;
+}
+
+} // namespace
+
+std::string encodeKnowledge(const RelayKnowledge &knowledge)
+{
+    Builder builder(FirstBufferSize);
+    std::vector<flatbuffers::Offset<KnowledgeWire::Route>> routes;
+    for (const auto &[address, route] : knowledge.routes.routes)
+        routes.push_back(write(builder, route));
+    std::vector<flatbuffers::Offset<KnowledgeWire::Target>> targets;
+    for (const auto &target : knowledge.targets)
+        targets.push_back(write(builder, target));
+    const auto routeList = builder.CreateVector(routes);
+    const auto targetList = builder.CreateVector(targets);
+    const auto idle = static_cast<std::uint32_t>(knowledge.routes.idleTimeout.count());
+    const auto &table = knowledge.routes;
+    builder.Finish(KnowledgeWire::CreateKnowledge(builder, table.version, table.changeRevision, idle, routeList, targetList));
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+Result<RelayKnowledge> decodeKnowledge(std::string_view bytes)
+{
+    const Failure malformed {FailureKind::MalformedFrame, 0, "knowledge"};
+    if (bytes.size() > KnowledgeSizeLimit)
+        return malformed;
+    const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!verifier.VerifyBuffer<KnowledgeWire::Knowledge>(nullptr))
+        return malformed;
+    const auto *wire = flatbuffers::GetRoot<KnowledgeWire::Knowledge>(data);
+    RelayKnowledge knowledge;
+    knowledge.routes.version = wire->version();
+    knowledge.routes.changeRevision = wire->change_revision();
+    knowledge.routes.idleTimeout = Duration(wire->idle_timeout_ms());
+    if (wire->routes() != nullptr) {
+        for (const auto *item : *wire->routes()) {
+            auto route = read(*item);
+            const auto address = route.address;
+            knowledge.routes.routes.emplace(address, std::move(route));
+        }
+    }
+    if (wire->targets() != nullptr) {
+        for (const auto *item : *wire->targets())
+            knowledge.targets.push_back(read(*item));
+    }
+    return knowledge;
+}
+
+} // namespace Papaya
--- a/Libraries/LibProtocol/RelaySettings.cpp
+++ b/Libraries/LibProtocol/RelaySettings.cpp
@@ -28,6 +28,7 @@
     if (role == RelayRole::Entry) {
         reader.readRequired("platform", settings.platform);
         reader.read("staleness_limit_ms", settings.stalenessLimit, LeastStalenessLimit, GreatestStalenessLimit);
+        reader.read("peers", settings.peers);
         reader.read<double>("link_megabits", settings.linkMegabits, 0, GreatestLinkMegabits);
         return;
     }
--- a/Libraries/LibProtocol/RelaySettings.h
+++ b/Libraries/LibProtocol/RelaySettings.h
@@ -32,6 +32,9 @@
     double linkMegabits = 0;
     /// Entry VM: address of the platform's store.
     Endpoint platform;
+    /// Entry VM: addresses of other entry daemons that may tell what they know while the platform cannot be read. Of these only the
+    /// IP address counts; the port is that of `operators`, which is the same on all VMs.
+    std::vector<Endpoint> peers;
     /// Target VM: the service of the target.
     std::string service;
     /// Target VM: UDP address on which the target takes packets.
--- a/Libraries/LibTransport/DaemonMessages.h
+++ b/Libraries/LibTransport/DaemonMessages.h
@@ -73,6 +73,15 @@
     std::string metricsText;
 };
 
+/// Asks a relaying entry daemon's main task for what it can tell others; answered with KnowledgeReport.
+struct AskKnowledge {
+};
+
+/// The routes and targets that a daemon knows, encoded; empty while it knows too little.
+struct KnowledgeReport {
+    std::string bytes;
+};
+
 /// Asks a daemon's main task how it would treat a flow; answered with ExplainReport. Nothing is changed.
 struct AskExplain {
     std::string flow;
@@ -104,6 +113,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::VmListInForce)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::AskStatus)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::StatusReport)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::AskKnowledge)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::KnowledgeReport)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::AskExplain)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::ExplainReport)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::Stop)
--- a/Libraries/LibTransport/OperatorsTask.cpp
+++ b/Libraries/LibTransport/OperatorsTask.cpp
@@ -63,6 +63,14 @@
     return makeResponse(readiness, status->isReady ? "ready\n" : "not ready\n", "text/plain");
 }
 
+Response answerKnowledge(caf::actor_system &system, const caf::actor &task)
+{
+    auto report = ask<KnowledgeReport>(system, task, AskKnowledge {});
+    if (!report || report->bytes.empty())
+        return makeResponse(http::status::service_unavailable, "nothing known\n", "text/plain");
+    return makeResponse(http::status::ok, std::move(report->bytes), "application/octet-stream");
+}
+
 /// Undoes percent-encoding; what is not encoded properly stays as it is.
 std::string decodeQuery(std::string_view text)
 {
@@ -82,6 +90,8 @@
 {
     if (target == "/healthz" || target == "/readyz" || target == "/metrics" || target == "/status")
         return answerStatus(system, task, target);
+    if (target == "/knowledge")
+        return answerKnowledge(system, task);
     if (!target.starts_with(ExplainQuery))
         return makeResponse(http::status::not_found, "unknown path\n", "text/plain");
     const auto report = ask<ExplainReport>(system, task, AskExplain {decodeQuery(target.substr(ExplainQuery.size()))});
--- a/Libraries/LibTransport/OperatorsTask.h
+++ b/Libraries/LibTransport/OperatorsTask.h
@@ -4,7 +4,8 @@
 
 namespace Papaya {
 
-/// Serves operators over HTTP: /healthz, /readyz, /metrics, /status and /explain?flow=FIVE-TUPLE. Everything is read-only.
+/// Serves operators over HTTP: /healthz, /readyz, /metrics, /status and /explain?flow=FIVE-TUPLE, and other daemons: /knowledge.
+/// Everything is read-only.
 class OperatorsTask : public caf::blocking_actor
 {
 public:
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -1,6 +1,7 @@
 #include "RelayEntryTask.h"
 
 #include "LibCoordination/EntrySearch.h"
+#include "LibProtocol/KnowledgeCodec.h"
 #include "LibTransport/ExplainFlow.h"
 #include "LibTransport/MonotonicClock.h"
 #include "platform/PacketCodec.h"
@@ -85,6 +86,32 @@
     m_poll.addReader(m_callers.descriptor(), CallersToken);
 }
 
+void RelayEntryTask::askPeers()
+{
+    if (m_hasAskedPeers || isInformed(m_relay) || m_settings.peers.empty() || currentTime() - m_relay.startedAt < FirstReadTime)
+        return;
+    m_hasAskedPeers = true;
+    std::vector<Endpoint> peers;
+    for (const auto &peer : m_settings.peers) {
+        if (peer.address != m_settings.operators.address)
+            peers.push_back({peer.address, m_settings.operators.port});
+    }
+    EventLog("peers_asked").with("peers", peers.size());
+    system().spawn<PeerReaderTask, caf::detached>(std::move(peers), caf::actor_cast<caf::actor>(this));
+}
+
+void RelayEntryTask::takeKnowledge(const PeerKnowledge &told)
+{
+    const bool isTaken = adoptKnowledge(m_relay, *told.knowledge, currentTime(), *this);
+    EventLog("knowledge_from_peer")
+        .with("peer", toString(told.peer))
+        .with("version", told.knowledge->routes.version)
+        .with("targets", told.knowledge->targets.size())
+        .with("outcome", isTaken ? "taken" : "not_needed");
+    if (isTaken)
+        subscribeToAgents();
+}
+
 void RelayEntryTask::drainMailbox()
 {
     while (!mailbox().empty()) {
@@ -101,6 +128,11 @@
                 [&](const TargetPublished &published) { takeTarget(published.target); },
                 [&](const TargetWithdrawn &withdrawn) { withdrawTarget(withdrawn.target, withdrawn.grace); },
                 [&](const RelaySettingsChanged &) { EventLog("settings_changed").with("applied", "at_next_start"); },
+                [&](const PeerKnowledge &told) { takeKnowledge(told); },
+                [&](AskKnowledge) {
+                    const auto knowledge = gatherKnowledge(m_relay, currentTime());
+                    return KnowledgeReport {knowledge ? encodeKnowledge(*knowledge) : std::string {}};
+                },
                 [&](AskStatus) { return report(); },
                 [&](const AskExplain &question) { return explain(question.flow); },
                 [&](Stop) { m_stopAt = currentTime() + StopDelay; });
@@ -252,6 +284,7 @@
 {
     const auto now = currentTime();
     onEntryTick(m_relay, now, *this);
+    askPeers();
     if (now - m_subscribedAt >= SubscriptionInterval)
         subscribeToAgents();
     if (const auto suppressed = m_routineLines.takeSuppressed() + m_failureLines.takeSuppressed(); suppressed > 0)
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -7,6 +7,7 @@
 #include "LibTransport/DatagramSocket.h"
 #include "LibTransport/EventLog.h"
 #include "LibTransport/EventPoll.h"
+#include "LibTransport/PeerReaderTask.h"
 #include "LibTransport/RelayProgram.h"
 #include "LibTransport/RelayUpdates.h"
 
@@ -40,6 +41,9 @@
     void takeTarget(const PublishedTarget &target);
     void withdrawTarget(MemberId target, Duration grace);
     void startReadingCallers();
+    /// Asks other entry daemons when the platform has not answered soon after the start.
+    void askPeers();
+    void takeKnowledge(const PeerKnowledge &told);
     void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
     void onTick();
@@ -63,6 +67,7 @@
     std::array<std::uint64_t, RelayReasonCount> m_decisions {};
     std::uint64_t m_packets = 0;
     bool m_isReadingCallers = false;
+    bool m_hasAskedPeers = false;
     TimePoint m_subscribedAt;
     std::optional<TimePoint> m_stopAt;
     bool m_isStopped = false;
--- /dev/null
+++ b/Tests/LibProtocol/TestKnowledgeCodec.cpp
@@ -0,0 +1,76 @@
+#include "LibProtocol/KnowledgeCodec.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace Papaya {
+
+namespace {
+
+RelayKnowledge makeKnowledge()
+{
+    RelayKnowledge knowledge;
+    knowledge.routes.version = 7;
+    knowledge.routes.changeRevision = 40;
+    knowledge.routes.idleTimeout = Duration(12'000);
+    Route route {"feed", {0xc6120001, 443}, {{hashOf("ledger"), "ledger", 3}, {hashOf("catalogue"), "catalogue", 1}}, true};
+    knowledge.routes.routes[route.address] = route;
+    PublishedTarget target;
+    target.id = 9;
+    target.name = "i-9";
+    target.service = hashOf("ledger");
+    target.application = {0x0a010001, 8'165};
+    target.agent = {0x0a010001, 7'720};
+    target.failureDomain = "patan";
+    target.slots = 7;
+    target.isDraining = true;
+    target.coldTime = Duration(1'500);
+    target.incarnation = 1'789'375'152'937;
+    target.listingRevision = 12;
+    knowledge.targets = {target};
+    return knowledge;
+}
+
+TEST(KnowledgeCodec, CarriesRoutesAndTargets)
+{
+    const auto original = makeKnowledge();
+    const auto decoded = decodeKnowledge(encodeKnowledge(original));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded.value().routes.version, 7U);
+    EXPECT_EQ(decoded.value().routes.changeRevision, 40U);
+    EXPECT_EQ(decoded.value().routes.idleTimeout, Duration(12'000));
+    EXPECT_EQ(decoded.value().routes.routes, original.routes.routes);
+    EXPECT_EQ(decoded.value().targets, original.targets);
+}
+
+TEST(KnowledgeCodec, RefusesTruncatedAndOversizedBytes)
+{
+    const auto bytes = encodeKnowledge(makeKnowledge());
+    for (std::size_t size = 0; size < bytes.size() / 2; ++size)
+        EXPECT_TRUE(decodeKnowledge(std::string_view(bytes).substr(0, size)).has_error());
+    EXPECT_TRUE(decodeKnowledge(std::string(KnowledgeSizeLimit + 1, 'x')).has_error());
+}
+
+TEST(KnowledgeCodec, SurvivesAMillionChangedInputs)
+{
+    constexpr int Inputs = 1'000'000;
+    std::mt19937_64 random(7);
+    const auto original = encodeKnowledge(makeKnowledge());
+    int refused = 0;
+    for (int input = 0; input < Inputs; ++input) {
+        auto changed = original;
+        for (int change = 0; change < 3; ++change)
+            changed[random() % changed.size()] = static_cast<char>(random());
+        const auto knowledge = decodeKnowledge(changed);
+        refused += knowledge.has_error() ? 1 : 0;
+        if (knowledge.has_value()) {
+            EXPECT_LE(knowledge.value().targets.size(), changed.size());
+        }
+    }
+    EXPECT_GT(refused, 0);
+}
+
+} // namespace
+
+} // namespace Papaya
--- a/Tests/RelayDeployment/RelayDeployment.cpp
+++ b/Tests/RelayDeployment/RelayDeployment.cpp
@@ -46,8 +46,10 @@
 
 } // namespace
 
-RelayDeployment::RelayDeployment(std::string programs, int entryDaemons, std::map<std::string, int> targetsOfService)
+RelayDeployment::RelayDeployment(std::string programs, int entryDaemons, std::map<std::string, int> targetsOfService, Peers peers)
     : m_programs(std::move(programs))
+    , m_entryDaemons(entryDaemons)
+    , m_peers(peers)
     , m_store(std::make_unique<StoreStandIn>(at(StoreHost, StorePort)))
 {
     std::string folder = "/tmp/papaya-relay-XXXXXX";
@@ -130,10 +132,21 @@
     const auto host = FirstEntryHost + static_cast<std::uint32_t>(number);
     const auto name = "entry-" + std::to_string(number);
     m_callers[name] = at(host, CallerPort);
-    const auto path = writeSettings(name, commonSettings(name, host) + "platform = " + toString(at(StoreHost, StorePort)) + "\n");
+    auto text = commonSettings(name, host) + "platform = " + toString(at(StoreHost, StorePort)) + "\n";
+    if (m_peers == Peers::Named)
+        text += "peers = " + peerList() + "\n";
+    const auto path = writeSettings(name, text);
     m_processes[name] = {{m_programs + "/papaya-relay-entryd", "--settings=" + path}, at(host, OperatorsPort), -1};
 }
 
+std::string RelayDeployment::peerList() const
+{
+    std::string list;
+    for (int entry = 0; entry < m_entryDaemons; ++entry)
+        list += (list.empty() ? "" : ",") + toString(at(FirstEntryHost + static_cast<std::uint32_t>(entry), OperatorsPort));
+    return list;
+}
+
 std::string RelayDeployment::writeSettings(const std::string &name, const std::string &text) const
 {
     auto path = m_folder + "/" + name + ".conf";
--- a/Tests/RelayDeployment/RelayDeployment.h
+++ b/Tests/RelayDeployment/RelayDeployment.h
@@ -16,13 +16,19 @@
 
 namespace Papaya {
 
+/// Whether entry daemons are told of each other.
+enum class Peers {
+    Unknown,
+    Named,
+};
+
 /// The relaying daemons as processes on loopback, each VM an address of 127.0.0.0/8, with a store and targets in this process.
 /// Ends every process that it started, by pid.
 class RelayDeployment
 {
 public:
     /// Starts the store, the targets of each service and all daemons, and waits until the entry daemons are ready.
-    RelayDeployment(std::string programs, int entryDaemons, std::map<std::string, int> targetsOfService);
+    RelayDeployment(std::string programs, int entryDaemons, std::map<std::string, int> targetsOfService, Peers peers = Peers::Unknown);
     ~RelayDeployment();
     RelayDeployment(const RelayDeployment &) = delete;
     RelayDeployment &operator=(const RelayDeployment &) = delete;
@@ -57,9 +63,12 @@
     void planEntry(int number);
     void planTarget(const std::string &service);
     void publishRoutes(const std::map<std::string, int> &services);
+    [[nodiscard]] std::string peerList() const;
     [[nodiscard]] std::string writeSettings(const std::string &name, const std::string &text) const;
 
     std::string m_programs;
+    int m_entryDaemons;
+    Peers m_peers;
     std::string m_folder;
     std::unique_ptr<StoreStandIn> m_store;
     std::vector<std::unique_ptr<EchoTarget>> m_targets;
--- a/Tests/RelayWhole/TestRelayDaemons.cpp
+++ b/Tests/RelayWhole/TestRelayDaemons.cpp
@@ -147,7 +147,12 @@
         }
     }
 
-    RelayDeployment m_deployment {PAPAYA_PROGRAMS, 3, {{"ledger", 3}, {"catalogue", 2}}};
+    explicit RelayDaemons(Peers peers = Peers::Unknown)
+        : m_deployment(PAPAYA_PROGRAMS, 3, {{"ledger", 3}, {"catalogue", 2}}, peers)
+    {
+    }
+
+    RelayDeployment m_deployment;
     Callers m_callers {m_deployment};
 };
 
@@ -206,6 +211,28 @@
     EXPECT_TRUE(RelayDeployment::waitUntil([&] { return m_deployment.isReady("entry-2"); }, Duration(5'000)));
 }
 
+class RelayDaemonsWithPeers : public RelayDaemons
+{
+protected:
+    RelayDaemonsWithPeers()
+        : RelayDaemons(Peers::Named)
+    {
+    }
+};
+
+TEST_F(RelayDaemonsWithPeers, ServeFlowsThroughADaemonThatStartsWhileTheStoreIsDown)
+{
+    openAll();
+    m_deployment.store().setDown(true);
+    m_deployment.signal("entry-2", SIGKILL);
+    m_deployment.awaitEnd("entry-2");
+    m_deployment.start("entry-2");
+    EXPECT_TRUE(RelayDeployment::waitUntil([&] { return m_deployment.isReady("entry-2"); }, Duration(5'000)));
+    m_callers.setRotation({"entry-2"});
+    askAll("told-");
+    EXPECT_TRUE(m_callers.open("ledger", FirstPort + Flows));
+}
+
 TEST_F(RelayDaemons, GiveALeavingTargetNoNewFlows)
 {
     const auto entry =
