--- a/Libraries/LibTransport/ProgramFlags.cpp
+++ b/Libraries/LibTransport/ProgramFlags.cpp
@@ -6,17 +6,31 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <absl/strings/match.h>
 
 ABSL_FLAG(std::string, settings, "", "Path of the settings file (INI).");
 ABSL_FLAG(bool, check_settings, false, "Read the settings, report every failure and exit: 0 when they are valid, 2 otherwise.");
 
 namespace Papaya {
 
+namespace {
+
+bool isOwnFile(absl::string_view file)
+{
+    return absl::EndsWith(file, "ProgramFlags.cpp");
+}
+
+} // namespace
+
 ProgramFlags parseProgramFlags(int argc, char **argv, const std::string &program, const std::string &usage)
 {
     absl::SetProgramUsageMessage(usage);
     absl::FlagsUsageConfig config;
     config.version_string = [&] { return program + " " + PAPAYA_VERSION + "\n"; };
+    // Abseil shows the flags of the file with main() only, unless told otherwise.
+    config.contains_help_flags = isOwnFile;
+    config.contains_helpshort_flags = isOwnFile;
+    config.normalize_filename = [](absl::string_view file) { return std::string(file.substr(file.rfind('/') + 1)); };
     absl::SetFlagsUsageConfig(config);
     absl::ParseCommandLine(argc, argv);
     startLogging();
--- a/Tests/Whole/TestCommands.cpp
+++ b/Tests/Whole/TestCommands.cpp
@@ -55,6 +55,15 @@
 
 } // namespace
 
+TEST_F(Commands, HelpListsTheFlagsOfEveryDaemon)
+{
+    for (const auto *program : {"papaya-entryd", "papaya-agentd", "papaya-relay-entryd", "papaya-relay-agentd"}) {
+        const auto help = run(std::string(program) + " --help");
+        EXPECT_NE(help.output.find("--settings"), std::string::npos) << program;
+        EXPECT_NE(help.output.find("--check_settings"), std::string::npos) << program;
+    }
+}
+
 TEST_F(Commands, CheckNamesEachErrorWithItsLine)
 {
     EXPECT_EQ(run("papayactl check " + write("good.ini", ValidText)).exitCode, 0);
