LibCoordination: Wait for a slow platform only a while; RelayAgent: Look at a target that is silent

Besides, verdicts waited for a current list while the store took its time and all targets were new.

Change: an agent whose target leaves offered packets or SYNs unanswered looks whether its port is open, once a second at most. A verdict on a flow whose requests may be repeated waits 0.3 s at most for a current list, if the daemon has read one itself; a peer's word alone still resets nothing.

--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -341,6 +341,16 @@
     }
 }
 
+bool isTargetInDoubt(const AgentRelay &agent, TimePoint now)
+{
+    if (agent.load.state == TargetState::Closed)
+        return false;
+    const bool isSynUnanswered = agent.unansweredSince && now - *agent.unansweredSince >= agent.limits.answerTime;
+    return isSynUnanswered || std::any_of(agent.offers.begin(), agent.offers.end(), [&](const auto &offer) {
+               return now - offer.second.offeredAt >= agent.limits.offerTime;
+           });
+}
+
 void onAgentTick(AgentRelay &agent, TimePoint now, AgentOutput &output)
 {
     reviewTarget(agent, now);
--- a/Libraries/LibCoordination/AgentRelay.h
+++ b/Libraries/LibCoordination/AgentRelay.h
@@ -34,6 +34,8 @@
     Duration flowLifetime {62'000};
     /// A target that has let a SYN wait for this long, and was silent since, counts as down.
     Duration answerTime {300};
+    /// A packet that the target would send back was offered this long ago and was not.
+    Duration offerTime {150};
     /// The least time between the end of a process and the start of the next one on the same VM.
     Duration restartTime {100};
     /// The weight of a new response time in the mean, in percent.
@@ -115,6 +117,9 @@
 /// Notes that the target's port is closed: no program holds its flows. Every entry daemon is told at once.
 void onPortClosed(AgentRelay &agent, TimePoint now, AgentOutput &output);
 
+/// Returns whether the target has left packets unanswered for so long that its port should be looked at.
+[[nodiscard]] bool isTargetInDoubt(const AgentRelay &agent, TimePoint now);
+
 /// Sends the reports that are due and forgets old flows. Call ten times a second.
 void onAgentTick(AgentRelay &agent, TimePoint now, AgentOutput &output);
 
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -41,6 +41,9 @@
     Duration routeSettleTime {1'500};
     /// What a watch of the platform may take to tell of a change.
     Duration watchLatency {150};
+    /// How long a verdict on a flow whose requests may be repeated waits for a current list of targets. Its caller loses more by
+    /// waiting for a slow platform than by opening another flow.
+    Duration longestVerdictWait {300};
     /// No flow is older. For this long after its start an entry daemon cannot know which services a route had before.
     Duration flowLifetime {62'000};
     /// A daemon that did nothing for this long, though it ticks ten times a second, was paused: answers may wait in its sockets.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -61,6 +61,13 @@
     return completeAt >= time;
 }
 
+/// Returns whether callers repeat the requests of a flow when it is reset.
+bool isRepeatable(const EntryRelay &entry, const FlowKey &flow)
+{
+    const auto route = entry.routes.routes.find(flow.service);
+    return route != entry.routes.routes.end() && route->second.isRepeatable;
+}
+
 /// Returns the time up to which the list of targets has to be complete for a verdict on a flow. A flow is opened only at targets
 /// that were listed a while before, unless most of its service's targets are new.
 TimePoint requiredListTime(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow)
@@ -78,7 +85,11 @@
 /// Ends a flow that every known agent denied, unless its target may have been listed too lately to be known here.
 void concludeDenied(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    if (knowsAllTargetsOf(entry, requiredListTime(entry, key, flow), now)) {
+    const bool isCurrent = knowsAllTargetsOf(entry, requiredListTime(entry, key, flow), now);
+    // Without any list of the platform's own, too little is known for a verdict.
+    const bool hasOwnList = entry.targetsCompleteAt != TimePoint {};
+    const bool hasWaited = now - flow.searchedSince >= entry.limits.longestVerdictWait;
+    if (isCurrent || (hasOwnList && hasWaited && isRepeatable(entry, key))) {
         endFlow(key, flow, RelayReason::HeldByNobody, flow.acknowledged, now, output);
         return;
     }
@@ -305,8 +316,7 @@
 
 bool isOutOfReach(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent, TimePoint now)
 {
-    const auto route = entry.routes.routes.find(flow.service);
-    if (route == entry.routes.routes.end() || !route->second.isRepeatable)
+    if (!isRepeatable(entry, flow))
         return false;
     const auto *record = findByAgent(entry.directory, agent);
     return record != nullptr && isUnreachable(entry.directory, *record, now);
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -19,6 +19,8 @@
 constexpr int NoticeLinesPerSecond = 20;
 /// A target on the same VM accepts or refuses a connection at once.
 constexpr Duration TargetCheckTime {50};
+/// The least time between two looks at a target that does not answer.
+constexpr Duration TargetCheckPause {1'000};
 
 std::string_view targetStateName(TargetState state)
 {
@@ -94,10 +96,16 @@
     m_isStopped = true;
     // An agent is stopped with its VM after the target has ended, or for a restart while the target goes on. Entry daemons that
     // are told of the former reset the flows at once, and do not wait for this agent when they search.
-    const bool hasEnded = tryConnect(m_settings.target, TargetCheckTime) == ConnectProgress::Failed;
-    if (hasEnded)
+    checkTarget("stop");
+}
+
+void RelayAgentTask::checkTarget(std::string_view cause)
+{
+    m_checkedAt = currentTime();
+    const bool isClosed = tryConnect(m_settings.target, TargetCheckTime) == ConnectProgress::Failed;
+    if (isClosed)
         onPortClosed(m_relay, currentTime(), *this);
-    EventLog("target_checked").with("cause", "stop").with("outcome", hasEnded ? "closed" : "open");
+    EventLog("target_checked").with("cause", cause).with("outcome", isClosed ? "closed" : "open");
 }
 
 void RelayAgentTask::handleDaemonDatagram(std::span<const std::byte> datagram, const Endpoint &entry)
@@ -199,6 +207,8 @@
     if (m_target.takePortClosed())
         onPortClosed(m_relay, currentTime(), *this);
     onAgentTick(m_relay, currentTime(), *this);
+    if (isTargetInDoubt(m_relay, currentTime()) && currentTime() - m_checkedAt >= TargetCheckPause)
+        checkTarget("unanswered");
     if (m_relay.load.state != m_loggedState) {
         m_loggedState = m_relay.load.state;
         EventLog("target_state").with("state", targetStateName(m_loggedState)).with("flows", m_relay.flows.size());
--- a/Services/RelayAgent/RelayAgentTask.h
+++ b/Services/RelayAgent/RelayAgentTask.h
@@ -36,6 +36,8 @@
 
     void drainMailbox();
     void onStop();
+    /// Looks whether anything listens at the target's port, and notes when nothing does.
+    void checkTarget(std::string_view cause);
     void handleDaemonDatagram(std::span<const std::byte> datagram, const Endpoint &entry);
     void handleEnvelope(const RelayEnvelope &envelope, const Endpoint &entry);
     void handleTargetPacket(std::span<const std::byte> packet);
@@ -55,6 +57,7 @@
     Metrics m_metrics;
     LogBudget m_noticeLines;
     std::array<std::byte, RelayDatagramLimit> m_scratch {};
+    TimePoint m_checkedAt;
     TargetState m_loggedState = TargetState::Answering;
     bool m_isStopped = false;
 };
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint64_t DaemonToken = 2;
 constexpr Duration PollTime {20};
 /// How long packets wait in the socket while a daemon that just started reads routes and targets; a caller repeats its SYN after
-/// 200 ms.
+/// 200 ms. A platform that has not answered by then is slow or away, and other daemons are asked.
 constexpr Duration FirstReadTime {180};
 /// How often agents are told that this daemon wants load reports.
 constexpr Duration SubscriptionInterval {2'000};
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -220,6 +220,18 @@
     EXPECT_EQ(ask(1), FlowVerdict::Denied);
 }
 
+TEST_F(AgentRelayTest, DoubtsATargetThatDoesNotSendOfferedPacketsBack)
+{
+    // The pattern: after a loss of power a leaving target does not come back, and nobody refuses its packets.
+    receive(makePacket(10), EnvelopePurpose::Search, 0);
+    EXPECT_FALSE(isTargetInDoubt(m_agent, at(100)));
+    EXPECT_TRUE(isTargetInDoubt(m_agent, at(200)));
+    onPortClosed(m_agent, at(200), m_output);
+    EXPECT_EQ(m_output.notices.back().second.kind, NoticeKind::Denied);
+    EXPECT_FALSE(isTargetInDoubt(m_agent, at(300)));
+    EXPECT_EQ(ask(300), FlowVerdict::Denied);
+}
+
 TEST_F(AgentRelayTest, KnowsAllFlowsOnceThePortWasClosed)
 {
     onPortClosed(m_agent, at(0), m_output);
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -371,6 +371,25 @@
     EXPECT_EQ(m_output.resets.size(), std::size_t {Flows});
 }
 
+TEST_F(EntryRelayTest, WaitsForASlowPlatformOnlyAWhileWhenRequestsMayBeRepeated)
+{
+    // The pattern: everything lost power, every target is new, and the store takes seconds for an answer.
+    for (const bool isRepeatable : {false, true}) {
+        m_entry = EntryRelay {};
+        SetUp();
+        m_output = Recorder {};
+        m_entry.routes.routes[ServiceAddress].isRepeatable = isRepeatable;
+        m_entry.watchingSince.reset();
+        publish(makeTarget(1), 1'990);
+        receive(makeData(501), 2'000);
+        notify(1, NoticeKind::Denied, 2'002);
+        tickUntil(2'100, 2'200);
+        EXPECT_TRUE(m_output.resets.empty());
+        tickUntil(2'300, 3'000);
+        EXPECT_EQ(m_output.resets.size(), isRepeatable ? 1U : 0U);
+    }
+}
+
 TEST_F(EntryRelayTest, ResetsADeadFlowThatOnlyAnUnreachableAgentHasNotDenied)
 {
     // The pattern: everything lost power, and a VM that was leaving does not come back, though its target is still listed.
