EntryRelay: Log why a reset flow was taken to be at its target

Callers saw resets of open flows with reason lost_at_target, and the log line could not tell whether the entry daemon had seen the flow's handshake, had got a late SYN-ACK notice, or had been told by the agent that the target holds the flow. These are three hypotheses of the incident. The flag isConfirmed becomes an enum, and the lines of the reasons lost_at_target, target_gone and agent_unreachable name it with the time for which the flow was open here. No decision changes. Evidence: TestLibCoordination passes; the order of the record and the clearing of the entry in resetFlow() is swapped so that the line can read the entry.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -144,7 +144,7 @@
         if (candidate.sequence && summary.acknowledgement == *candidate.sequence + 1)
             owner = &candidate;
     }
-    flow.isConfirmed = owner != nullptr;
+    flow.evidence = owner == nullptr ? FlowEvidence::Assumed : FlowEvidence::Handshake;
     // The agent's notice of the SYN-ACK may be lost or late. Then the flow is forwarded to the last target that did not return
     // the SYN, and that target's reaction to the packet shows whether it holds the flow.
     const auto unreturned = std::find_if(
@@ -277,7 +277,7 @@
     }
     if (flow.stage != EntryFlowStage::Open || flow.agent != agent || summary.isReset)
         return;
-    if (flow.isConfirmed) {
+    if (flow.evidence != FlowEvidence::Assumed) {
         resetFlow(summary.flow, flow, RelayReason::LostAtTarget, summary.acknowledgement, now, output);
         return;
     }
@@ -310,7 +310,7 @@
     if (auto *candidate = findCandidate(flow->second, agent))
         candidate->sequence = notice.sequence;
     else if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent)
-        flow->second.isConfirmed = true;
+        flow->second.evidence = FlowEvidence::LateSynAck;
 }
 
 /// Resets the open flows of an agent's target.
@@ -337,13 +337,28 @@
 void applyFinding(EntryFlow &flow, const FlowFinding &finding, TimePoint now, EntryOutput &output)
 {
     if (finding.verdict == FlowVerdict::Held)
-        flow.isConfirmed = true;
+        flow.evidence = FlowEvidence::Held;
     else if (finding.verdict == FlowVerdict::Denied && !flow.isFinished)
         resetFlow(finding.flow, flow, RelayReason::TargetGone, flow.acknowledged, now, output);
 }
 
 } // namespace
 
+std::string_view flowEvidenceName(FlowEvidence evidence)
+{
+    switch (evidence) {
+    case FlowEvidence::Assumed:
+        return "assumed";
+    case FlowEvidence::Handshake:
+        return "handshake";
+    case FlowEvidence::LateSynAck:
+        return "late_syn_ack";
+    case FlowEvidence::Held:
+        return "held";
+    }
+    return "unknown";
+}
+
 void detectPause(EntryRelay &entry, TimePoint now)
 {
     if (now - entry.lastActiveAt >= entry.limits.pauseThreshold)
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -87,6 +88,21 @@
     Ended,
 };
 
+/// Why an entry daemon assumes that a flow is open at a target.
+enum class FlowEvidence : std::uint8_t {
+    /// Nothing has confirmed it: the flow's SYN was sent to this target last.
+    Assumed,
+    /// The caller acknowledged the sequence number of the target's SYN-ACK.
+    Handshake,
+    /// The target's agent reported a SYN-ACK after the caller had completed a handshake.
+    LateSynAck,
+    /// The target's agent answered a search or a query that the target holds the flow.
+    Held,
+};
+
+/// Returns the stable name of an evidence for logs.
+[[nodiscard]] std::string_view flowEvidenceName(FlowEvidence evidence);
+
 /// Cache entry of one flow at an entry daemon.
 struct EntryFlow {
     EntryFlowStage stage = EntryFlowStage::Opening;
@@ -98,8 +114,7 @@
     std::vector<std::vector<std::byte>> bufferedPackets;
     Endpoint agent;
     ServiceId service = 0;
-    /// Whether the target or its agent has confirmed that the target held the flow; otherwise the target is only assumed.
-    bool isConfirmed = false;
+    FlowEvidence evidence = FlowEvidence::Assumed;
     /// Whether a FIN or a reset from the caller was forwarded.
     bool isFinished = false;
     /// The last acknowledgement number from the caller. The caller accepts a reset only near this sequence number.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -242,7 +242,7 @@
     flow.stage = EntryFlowStage::Open;
     flow.agent = agent;
     flow.service = service;
-    flow.isConfirmed = true;
+    flow.evidence = FlowEvidence::Held;
     flow.changedAt = now;
     flow.candidates.clear();
     flow.deniedBy.clear();
@@ -340,13 +340,13 @@
 
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output)
 {
+    output.recordDecision(key, reason, flow.agent);
     flow.stage = EntryFlowStage::Ended;
     flow.changedAt = now;
     flow.lastSeenAt = now;
     flow.candidates.clear();
     flow.deniedBy.clear();
     flow.bufferedPackets.clear();
-    output.recordDecision(key, reason, flow.agent);
     output.resetCaller(key, sequence);
 }
 
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -219,6 +219,11 @@
     if (agent != Endpoint {})
         line.with("agent", toString(agent));
     const auto found = m_relay.flows.find(flow);
+    const bool isResetAtTarget =
+        reason == RelayReason::LostAtTarget || reason == RelayReason::TargetGone || reason == RelayReason::AgentUnreachable;
+    if (found != m_relay.flows.end() && isResetAtTarget)
+        line.with("evidence", flowEvidenceName(found->second.evidence))
+            .with("open_ms", static_cast<std::uint64_t>((currentTime() - found->second.changedAt).count()));
     if (found != m_relay.flows.end() && (reason == RelayReason::HeldByNobody || reason == RelayReason::SearchFound))
         line.with("search_ms", static_cast<std::uint64_t>((currentTime() - found->second.searchStartedAt).count()));
 }
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -72,7 +72,7 @@
     notify(first, NoticeKind::Accepted, 215, {}, 500);
     receive(makeData(501), 220);
     EXPECT_EQ(lastAgent(), first);
-    EXPECT_TRUE(m_entry.flows.at(Flow).isConfirmed);
+    EXPECT_EQ(m_entry.flows.at(Flow).evidence, FlowEvidence::Handshake);
 }
 
 TEST_F(EntryRelayTest, ReturnedSynGoesToNextTargetAndIsResetAfterLast)
