AgentRelay: Open a flow only with the handshake of its own target

Callers saw an open flow reset with reason lost_at_target while its own target served. Two agents had entries of the flow: a SYN that had waited in a frozen entry daemon was placed at a second target, where the handshake stays incomplete. Cause: any packet from the caller marked the entry of the flow as open, also a search's probe, before the target had accepted it. The target returned the probe, the agent answered denied, but kept the entry, and answered held to the next search. Change: a packet opens the entry only if it acknowledges the target's own SYN-ACK; else the entry stays incomplete, for which the agent answers unknown and lets the target decide.

--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -77,6 +77,14 @@
     }
 }
 
+/// Returns whether the target holds the flow open once it gets this packet from the caller. The first packet that opens the flow
+/// acknowledges the target's SYN-ACK: the target sends nothing else before. A caller that opened the flow at another target
+/// acknowledges that target's SYN-ACK instead.
+bool isOpenedBy(const AgentFlow &flow, const PacketSummary &summary)
+{
+    return flow.isOpen || (flow.sequence && summary.acknowledgement == *flow.sequence + 1);
+}
+
 void updateFromCaller(AgentRelay &agent, const Endpoint &entry, const PacketSummary &summary, TimePoint now)
 {
     if (summary.isInitialSyn()) {
@@ -93,6 +101,8 @@
         removeFlow(agent, summary.flow);
         return;
     }
+    if (!isOpenedBy(flow, summary))
+        return;
     openFlow(agent, flow);
     flow.isCallerFinished = flow.isCallerFinished || summary.isFin;
     if (summary.length == 0 || flow.requestStartedAt)
--- a/Libraries/LibCoordination/AgentRelay.h
+++ b/Libraries/LibCoordination/AgentRelay.h
@@ -53,6 +53,8 @@
     TimePoint lastSeenAt;
     /// Start of the request whose answer has not begun; nothing while no request runs.
     std::optional<TimePoint> requestStartedAt;
+    /// Whether the target holds the flow open: the caller has acknowledged the target's SYN-ACK, or the target has sent packets
+    /// other than a SYN-ACK.
     bool isOpen = false;
     bool isCallerFinished = false;
     bool isTargetFinished = false;
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -77,13 +77,19 @@
         onTargetPacket(m_agent, summary, Packet, at(milliseconds), m_output);
     }
 
-    void openFlow()
+    /// Places a SYN that the target answers with this sequence number.
+    void receiveSynAck(int milliseconds, std::uint32_t sequence)
     {
-        receive(makeSyn(), EnvelopePurpose::Forward, 0);
+        receive(makeSyn(), EnvelopePurpose::Forward, milliseconds);
         auto answer = makeSyn();
         answer.hasAcknowledgement = true;
-        answer.sequence = 500;
-        receiveFromTarget(answer, 1);
+        answer.sequence = sequence;
+        receiveFromTarget(answer, milliseconds + 1);
+    }
+
+    void openFlow()
+    {
+        receiveSynAck(0, 500);
         receive(makePacket(), EnvelopePurpose::Forward, 5);
     }
 
@@ -187,6 +193,36 @@
     EXPECT_EQ(m_output.notices.back().second.kind, NoticeKind::Held);
 }
 
+// An open flow was reset because the agent of a target with only an incomplete handshake of it claimed to hold it: a probe for the
+// flow, which the target returned, had marked the flow as open.
+TEST_F(AgentRelayTest, ReturnedProbeOfIncompleteHandshakeIsNotHeldAfterwards)
+{
+    m_agent.hasCompleteFlowTable = true;
+    receiveSynAck(0, 500);
+    auto data = makePacket(10);
+    data.acknowledgement = 901;
+    receive(data, EnvelopePurpose::Search, 100, OtherEntry);
+    receiveReturned(data, 101);
+    EXPECT_EQ(m_output.notices.back().second.kind, NoticeKind::Denied);
+    EXPECT_EQ(queryFlow(400), FlowVerdict::Unknown);
+    receive(data, EnvelopePurpose::Search, 400, OtherEntry);
+    EXPECT_NE(m_output.notices.back().second.kind, NoticeKind::Held);
+    receiveReturned(data, 401);
+    EXPECT_EQ(m_output.notices.back().second.kind, NoticeKind::Denied);
+}
+
+// A forwarded packet that does not acknowledge the target's SYN-ACK must not open the flow in the agent's table.
+TEST_F(AgentRelayTest, PacketOfAnotherHandshakeDoesNotOpenFlow)
+{
+    receiveSynAck(0, 500);
+    auto data = makePacket(10);
+    data.acknowledgement = 901;
+    receive(data, EnvelopePurpose::Forward, 100);
+    EXPECT_EQ(queryFlow(101), FlowVerdict::Unknown);
+    EXPECT_EQ(m_agent.load.openFlows, 0U);
+    EXPECT_EQ(m_agent.load.runningRequests, 0U);
+}
+
 TEST_F(AgentRelayTest, UnknownFlowIsDeniedAfterMaximumFlowAge)
 {
     receive(makePacket(10), EnvelopePurpose::Search, 62'000);
