EntryRelay: Confirm a flow only with the SYN-ACK that its caller acknowledged

Callers could see an open flow reset with reason lost_at_target by an entry daemon that had placed a late copy of its SYN at a second target: the SYN and the caller's next packet waited in the frozen daemon's socket and were handled in a row. Cause: the notice of the second target's SYN-ACK arrived after the flow had been assumed to be there and confirmed it, without a comparison of sequence numbers; the packet that this target returned then counted as a loss of the flow. Change: the entry keeps the acknowledgement number of the caller's first packet, and only the SYN-ACK with that number confirms the flow. Evidence: SynAckOfAnotherHandshakeDoesNotConfirmFlow failed before (evidence late_syn_ack, one reset) and passes; the late notice of the right SYN-ACK still confirms (LateSynAckOfTheSameHandshakeConfirmsFlow). 53 tests of AgentRelay*, Entry* pass.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -154,6 +154,7 @@
     flow.agent = owner->agent;
     flow.service = owner->service;
     flow.stage = EntryFlowStage::Open;
+    flow.handshakeAcknowledgement = summary.acknowledgement;
     flow.changedAt = now;
     flow.candidates.clear();
     output.recordDecision(summary.flow, RelayReason::Opened, flow.agent);
@@ -301,6 +302,13 @@
         onPacketReturned(entry, agent, summary, flow->second, notice.packet, now, output);
 }
 
+/// Returns whether a SYN-ACK from the assumed target of an open flow is the one that the caller acknowledged.
+bool isAcceptedByOwner(const EntryFlow &flow, const Endpoint &agent, std::uint32_t sequence)
+{
+    return flow.stage == EntryFlowStage::Open && flow.evidence == FlowEvidence::Assumed && flow.agent == agent
+           && flow.handshakeAcknowledgement == sequence + 1;
+}
+
 void onAccepted(EntryRelay &entry, const Endpoint &agent, const RelayNotice &notice)
 {
     clearSuspicion(entry.directory, agent);
@@ -309,7 +317,7 @@
         return;
     if (auto *candidate = findCandidate(flow->second, agent))
         candidate->sequence = notice.sequence;
-    else if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent)
+    else if (isAcceptedByOwner(flow->second, agent, notice.sequence))
         flow->second.evidence = FlowEvidence::LateSynAck;
 }
 
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -119,6 +119,8 @@
     bool isFinished = false;
     /// The last acknowledgement number from the caller. The caller accepts a reset only near this sequence number.
     std::uint32_t acknowledged = 0;
+    /// The acknowledgement number of the caller's first packet after the SYN, which belongs to one target's SYN-ACK.
+    std::uint32_t handshakeAcknowledgement = 0;
     /// Sequence number of the caller's last data, and whether the caller has retransmitted that data because no answer arrived.
     std::optional<std::uint32_t> lastDataSequence;
     bool isRetransmitting = false;
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -113,6 +113,30 @@
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
 }
 
+// An open flow was reset because a SYN-ACK that the caller never acknowledged confirmed the flow at the wrong target: the entry
+// daemon had placed a late copy of the SYN there while the flow was open at another target.
+TEST_F(EntryRelayTest, SynAckOfAnotherHandshakeDoesNotConfirmFlow)
+{
+    publish(makeTarget(1));
+    receive(makeSyn(), 0);
+    receive(makeData(901), 1);
+    notify(1, NoticeKind::Accepted, 2, {}, 500);
+    EXPECT_EQ(m_entry.flows.at(Flow).evidence, FlowEvidence::Assumed);
+    notify(1, NoticeKind::Returned, 3, makeData(901));
+    EXPECT_TRUE(m_output.resets.empty());
+    EXPECT_FALSE(m_output.hasRecorded(RelayReason::LostAtTarget));
+}
+
+// The SYN-ACK that the caller acknowledged is reported after the caller's next packet has arrived.
+TEST_F(EntryRelayTest, LateSynAckOfTheSameHandshakeConfirmsFlow)
+{
+    publish(makeTarget(1));
+    receive(makeSyn(), 0);
+    receive(makeData(501), 1);
+    notify(1, NoticeKind::Accepted, 2, {}, 500);
+    EXPECT_EQ(m_entry.flows.at(Flow).evidence, FlowEvidence::LateSynAck);
+}
+
 TEST_F(EntryRelayTest, RetransmittingFlowIsResetWhenAgentIsUnreachable)
 {
     m_entry.routes.routes[ServiceAddress].isIdempotent = true;
