EntryRelay: Search for a returned flow at all targets before its reset

Callers saw open flows reset with reason lost_at_target after one returned packet, although another agent had answered that its target holds the flow. One returned packet shows only that this target does not hold it: the confirmation may come from an agent's stale entry, from another handshake, or from a flow that used the same ports before. Change: a returned packet of a confirmed flow starts a search, as it did for an assumed one. The flow is reset when all agents have denied it and the list of targets is current; the reason stays lost_at_target if the flow had been confirmed. Evidence: ReturnedPacketOfConfirmedFlowStartsSearchAtOtherTargets failed before (reset at once). A flow whose target really lost it is reset one round trip later.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -263,7 +263,8 @@
     resetFlow(summary.flow, flow, RelayReason::AllReturned, summary.acknowledgement, now, output);
 }
 
-/// Processes a packet that a target returned because it does not hold the packet's flow.
+/// Processes a packet that a target returned because it does not hold the packet's flow. The flow may be open at another target,
+/// also if it was confirmed here, so it is reset only when all agents have denied it.
 void onPacketReturned(EntryRelay &entry,
                       const Endpoint &agent,
                       const PacketSummary &summary,
@@ -278,10 +279,6 @@
     }
     if (flow.stage != EntryFlowStage::Open || flow.agent != agent || summary.isReset)
         return;
-    if (flow.evidence != FlowEvidence::Assumed) {
-        resetFlow(summary.flow, flow, RelayReason::LostAtTarget, summary.acknowledgement, now, output);
-        return;
-    }
     startSearch(entry, summary, flow, packet, now, output);
     onFlowDenied(entry, agent, summary.flow, flow, now, output);
 }
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -94,7 +94,8 @@
     const bool hasPlatformList = entry.targetsCurrentAsOf != TimePoint {};
     const bool hasDelayElapsed = now - flow.searchStartedAt >= entry.limits.maximumResetDelay;
     if (isCurrent || (hasPlatformList && hasDelayElapsed && isIdempotent(entry, key))) {
-        resetFlow(key, flow, RelayReason::HeldByNobody, flow.acknowledged, now, output);
+        const auto reason = flow.evidence == FlowEvidence::Assumed ? RelayReason::HeldByNobody : RelayReason::LostAtTarget;
+        resetFlow(key, flow, reason, flow.acknowledged, now, output);
         return;
     }
     entry.pendingResets.push_back(key);
--- a/Libraries/LibCoordination/RelayReason.h
+++ b/Libraries/LibCoordination/RelayReason.h
@@ -36,7 +36,7 @@
     NoTarget,
     /// The flow was reset: every target returned its SYN.
     AllReturned,
-    /// The flow was reset: its target returned a packet because it no longer holds the flow.
+    /// The flow was reset: its target returned a packet because it no longer holds the flow, and no other target holds it.
     LostAtTarget,
     /// The flow was reset: no target holds it, according to all agents.
     HeldByNobody,
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -106,11 +106,30 @@
 TEST_F(EntryRelayTest, ConfirmedFlowIsResetWhenTargetReturnsPacket)
 {
     publish(makeTarget(1));
-    receive(makeSyn(), 0);
-    notify(1, NoticeKind::Accepted, 2, {}, 500);
-    receive(makeData(501), 4);
-    notify(1, NoticeKind::Returned, 6, makeData(501));
+    receive(makeSyn(), 2'000);
+    notify(1, NoticeKind::Accepted, 2'002, {}, 500);
+    receive(makeData(501), 2'004);
+    notify(1, NoticeKind::Returned, 2'006, makeData(501));
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    EXPECT_TRUE(m_output.hasRecorded(RelayReason::LostAtTarget));
+}
+
+// An open flow was reset because one target returned one of its packets, although another target held the flow.
+TEST_F(EntryRelayTest, ReturnedPacketOfConfirmedFlowStartsSearchAtOtherTargets)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    const auto second = 3 - first;
+    notify(first, NoticeKind::Accepted, 2'002, {}, 500);
+    receive(makeData(501), 2'004);
+    notify(first, NoticeKind::Returned, 2'006, makeData(501));
+    EXPECT_TRUE(m_output.resets.empty());
+    notify(second, NoticeKind::Held, 2'008);
+    receive(makeData(502), 2'100);
+    EXPECT_EQ(lastAgent(), second);
+    EXPECT_TRUE(m_output.resets.empty());
 }
 
 // An open flow was reset because a SYN-ACK that the caller never acknowledged confirmed the flow at the wrong target: the entry
