EntryRelay: Search for an assumed flow whose target has gone

Callers could see an open flow reset with reason target_gone or agent_unreachable although its target served: the entry daemon only assumed the flow at another target, because no SYN-ACK notice had confirmed it, and that target closed, was replaced, or could not be reached. Cause: the resets for targets that have gone took each cached target for the flow's own, as the reset for returned packets did. Change: endFlowAtTarget() resets confirmed flows only. The entry of an assumed flow is removed, so that its next packet starts a search; a packet that finds the assumed agent unreachable starts the search itself.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -179,7 +179,10 @@
 {
     detectRetransmission(entry, summary, flow, now, output);
     if (mayResetWithoutAgent(entry, summary.flow, flow.agent, now) && !summary.isReset) {
-        resetFlow(summary.flow, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+        if (flow.evidence == FlowEvidence::Assumed)
+            startSearch(entry, summary, flow, packet, now, output);
+        else
+            resetFlow(summary.flow, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
         return;
     }
     output.sendToAgent(flow.agent, {flow.service, EnvelopePurpose::Forward, packet});
@@ -318,12 +321,15 @@
         flow->second.evidence = FlowEvidence::LateSynAck;
 }
 
-/// Resets the open flows of an agent's target.
-void resetFlowsOfAgent(EntryRelay &entry, const Endpoint &agent, TimePoint now, EntryOutput &output)
+/// Ends the open flows of an agent whose target has terminated.
+void endFlowsOfAgent(EntryRelay &entry, const Endpoint &agent, TimePoint now, EntryOutput &output)
 {
-    for (auto &[key, flow] : entry.flows) {
-        if (flow.stage == EntryFlowStage::Open && flow.agent == agent && !flow.isFinished)
-            resetFlow(key, flow, RelayReason::TargetGone, flow.acknowledged, now, output);
+    for (auto item = entry.flows.begin(); item != entry.flows.end();) {
+        const auto current = item++;
+        auto &[key, flow] = *current;
+        const bool isAtAgent = flow.stage == EntryFlowStage::Open && flow.agent == agent && !flow.isFinished;
+        if (isAtAgent && endFlowAtTarget(key, flow, RelayReason::TargetGone, now, output))
+            entry.flows.erase(current);
     }
 }
 
@@ -338,13 +344,15 @@
     sendQueries(entry, now, output);
 }
 
-/// Applies an agent's answer on a flow that is open at its target according to the cache.
-void applyFinding(EntryFlow &flow, const FlowFinding &finding, TimePoint now, EntryOutput &output)
+/// Applies an agent's answer on a flow that is open at its target according to the cache. Returns whether the flow's entry has to be
+/// removed, since its target was only assumed.
+[[nodiscard]] bool applyFinding(EntryFlow &flow, const FlowFinding &finding, TimePoint now, EntryOutput &output)
 {
     if (finding.verdict == FlowVerdict::Held)
         flow.evidence = FlowEvidence::Held;
-    else if (finding.verdict == FlowVerdict::Denied && !flow.isFinished)
-        resetFlow(finding.flow, flow, RelayReason::TargetGone, flow.acknowledged, now, output);
+    if (finding.verdict != FlowVerdict::Denied || flow.isFinished)
+        return false;
+    return endFlowAtTarget(finding.flow, flow, RelayReason::TargetGone, now, output);
 }
 
 } // namespace
@@ -434,7 +442,7 @@
     applyLoad(entry.directory, agent, report.service, report.load, now);
     if (report.load.state != TargetState::Closed)
         return;
-    resetFlowsOfAgent(entry, agent, now, output);
+    endFlowsOfAgent(entry, agent, now, output);
     for (auto &[key, flow] : entry.flows) {
         if (flow.stage == EntryFlowStage::Searching)
             onFlowDenied(entry, agent, key, flow, now, output);
@@ -450,9 +458,10 @@
         const auto flow = entry.flows.find(finding.flow);
         if (flow == entry.flows.end())
             continue;
-        if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent)
-            applyFinding(flow->second, finding, now, output);
-        else if (finding.verdict == FlowVerdict::Held)
+        if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent) {
+            if (applyFinding(flow->second, finding, now, output))
+                entry.flows.erase(flow);
+        } else if (finding.verdict == FlowVerdict::Held)
             onFlowHeld(agent, answer.service, finding.flow, flow->second, now, output);
         else if (finding.verdict == FlowVerdict::Denied)
             onFlowDenied(entry, agent, finding.flow, flow->second, now, output);
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -339,6 +339,14 @@
     }
 }
 
+bool endFlowAtTarget(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output)
+{
+    if (flow.evidence == FlowEvidence::Assumed)
+        return true;
+    resetFlow(key, flow, reason, flow.acknowledged, now, output);
+    return false;
+}
+
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output)
 {
     output.recordDecision(key, reason, flow.agent);
--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -15,17 +15,18 @@
     return idle >= entry.limits.flowIdleTimeout;
 }
 
-/// Resets an open flow when its target has terminated, or when the caller retransmits without an answer, the agent is
+/// Ends an open flow when its target has terminated, or when the caller retransmits without an answer, the agent is
 /// unreachable too and the requests of the flow's route are idempotent.
-void checkOpenFlow(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+/// Returns whether the flow's entry has to be removed, since its target was only assumed.
+[[nodiscard]] bool checkOpenFlow(const EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
     const auto *record = findByAgent(std::as_const(entry.directory), flow.agent);
     if (record == nullptr || flow.isFinished)
-        return;
+        return false;
     if (isTerminated(entry.directory, *record, now))
-        resetFlow(key, flow, RelayReason::TargetGone, flow.acknowledged, now, output);
-    else if (flow.isRetransmitting && mayResetWithoutAgent(entry, key, flow.agent, now))
-        resetFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+        return endFlowAtTarget(key, flow, RelayReason::TargetGone, now, output);
+    const bool isUnreachable = flow.isRetransmitting && mayResetWithoutAgent(entry, key, flow.agent, now);
+    return isUnreachable && endFlowAtTarget(key, flow, RelayReason::AgentUnreachable, now, output);
 }
 
 } // namespace
@@ -33,11 +34,13 @@
 void onEntryTick(EntryRelay &entry, TimePoint now, EntryOutput &output)
 {
     detectPause(entry, now);
-    for (auto &[key, flow] : entry.flows) {
-        if (flow.stage == EntryFlowStage::Open)
-            checkOpenFlow(entry, key, flow, now, output);
-        else if (flow.stage == EntryFlowStage::Searching)
+    for (auto item = entry.flows.begin(); item != entry.flows.end();) {
+        const auto current = item++;
+        auto &[key, flow] = *current;
+        if (flow.stage == EntryFlowStage::Searching)
             retrySearch(entry, key, flow, now, output);
+        else if (flow.stage == EntryFlowStage::Open && checkOpenFlow(entry, key, flow, now, output))
+            entry.flows.erase(current);
     }
     retryPendingResets(entry, now, output);
     sendQueries(entry, now, output);
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -201,6 +201,40 @@
     EXPECT_TRUE(m_output.hasRecorded(RelayReason::TargetGone));
 }
 
+// A flow that this entry daemon only assumed at a target was reset when that target terminated, although another target held it.
+TEST_F(EntryRelayTest, AssumedFlowIsSearchedForWhenTargetTerminates)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    receive(makeData(901), 2'004);
+    RelayReport closed {hashOf("ledger"), {}};
+    closed.load.state = TargetState::Closed;
+    onReport(m_entry, agentOf(first), closed, at(2'100), m_output);
+    EXPECT_TRUE(m_output.resets.empty());
+    receive(makeData(901), 2'200);
+    notify(3 - first, NoticeKind::Held, 2'202);
+    EXPECT_EQ(m_entry.flows.at(Flow).agent, agentOf(3 - first));
+    EXPECT_TRUE(m_output.resets.empty());
+}
+
+// The same when the agent of the assumed target denies the flow after a replacement of the target.
+TEST_F(EntryRelayTest, AssumedFlowIsSearchedForWhenReplacingTargetDeniesIt)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    receive(makeData(901), 2'004);
+    auto next = makeTarget(first);
+    next.incarnation = 2;
+    publish(next, 2'100);
+    answer(agentOf(first), FlowVerdict::Denied, 2'102);
+    EXPECT_TRUE(m_output.resets.empty());
+    EXPECT_FALSE(m_entry.flows.contains(Flow));
+}
+
 TEST_F(EntryRelayTest, FlowIsKeptWhenReplacingTargetHoldsIt)
 {
     // After a restart of the whole system a target accepts flows before the platform's list with its new incarnation is read
