EntryRelay: Search for a flow whose caller acknowledges another handshake

Change: if each target that got the SYN here has returned it or has reported a SYN-ACK that the caller does not acknowledge, the packet starts a search at once.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -136,6 +136,15 @@
         output.sendToAgent(last->agent, {last->service, EnvelopePurpose::Forward, packet});
 }
 
+/// Returns whether the caller opened the flow at a target that this entry daemon did not send the SYN to: all targets that may have
+/// accepted it here have reported their SYN-ACKs, and the caller acknowledges none of them.
+bool isOpenElsewhere(const PacketSummary &summary, const EntryFlow &flow)
+{
+    return std::all_of(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) {
+        return candidate.hasReturnedSyn || (candidate.sequence && summary.acknowledgement != *candidate.sequence + 1);
+    });
+}
+
 /// Selects the target that a flow opened at: the one whose sequence number the caller acknowledges.
 void selectOwner(const PacketSummary &summary, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
@@ -227,6 +236,10 @@
             forwardRetransmittedSyn(entry, summary.flow, flow, packet, now, output);
             return;
         }
+        if (isOpenElsewhere(summary, flow)) {
+            startSearch(entry, summary, flow, packet, now, output);
+            return;
+        }
         selectOwner(summary, flow, now, output);
         forwardOpen(entry, summary, flow, packet, now, output);
         return;
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -75,6 +75,21 @@
     EXPECT_EQ(m_entry.flows.at(Flow).evidence, FlowEvidence::Handshake);
 }
 
+// A late copy of a SYN opened a second handshake. The packets of the flow, which is open elsewhere, must not go to that target.
+TEST_F(EntryRelayTest, PacketOfAnotherHandshakeIsSearchedFor)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    notify(first, NoticeKind::Accepted, 2'002, {}, 500);
+    m_output.sent.clear();
+    receive(makeData(901), 2'004);
+    EXPECT_TRUE(m_output.hasRecorded(RelayReason::SearchStarted));
+    EXPECT_TRUE(
+        std::all_of(m_output.sent.begin(), m_output.sent.end(), [](const auto &sent) { return sent.purpose == EnvelopePurpose::Search; }));
+}
+
 TEST_F(EntryRelayTest, ReturnedSynGoesToNextTargetAndIsResetAfterLast)
 {
     publish(makeTarget(1));
