AgentRelay: Keep the entry of a flow after its caller's reset

Callers could see an open flow reset as held by nobody: a reset from the caller's address, for example a late one of an earlier flow with the same ports, which the target ignores, removed the flow from the agent's table. An agent with a complete table then denied the flow that its target holds. Change: the entry is closed and kept for the retention of finished flows. Until the target's next packet opens it again, the agent answers unknown, and the target decides by a probe. Evidence: FlowIsNotDeniedAfterResetThatTargetIgnores failed before (Denied instead of Unknown) and passes.

--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -97,8 +97,9 @@
     auto &flow = existing->second;
     flow.entry = entry;
     flow.lastSeenAt = now;
+    // The target decides whether it accepts the reset. The entry stays for a while, so that the flow is not denied without a probe.
     if (summary.isReset) {
-        removeFlow(agent, summary.flow);
+        closeFlow(agent, flow);
         return;
     }
     if (!isOpenedBy(flow, summary))
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -268,6 +268,21 @@
     EXPECT_EQ(queryFlow(300), FlowVerdict::Denied);
 }
 
+// A reset from the caller's address that the target ignores, such as a late one of an earlier flow, must not make the agent deny
+// the flow.
+TEST_F(AgentRelayTest, FlowIsNotDeniedAfterResetThatTargetIgnores)
+{
+    m_agent.hasCompleteFlowTable = true;
+    openFlow();
+    auto reset = makePacket();
+    reset.isReset = true;
+    receive(reset, EnvelopePurpose::Forward, 100);
+    EXPECT_EQ(queryFlow(101), FlowVerdict::Unknown);
+    EXPECT_EQ(m_agent.load.openFlows, 0U);
+    receiveFromTarget(makePacket(10), 200);
+    EXPECT_EQ(queryFlow(201), FlowVerdict::Held);
+}
+
 TEST_F(AgentRelayTest, UnknownFlowIsDeniedAfterPortWasClosed)
 {
     onPortClosed(m_agent, at(0), m_output);
