AgentRelay: Keep an open flow whose late SYN was returned

Callers could see an open flow reset as held by nobody: a late copy of its SYN, which waited in a frozen entry daemon, reached the flow's own target when that accepted no more flows. The target returned the copy, and the agent removed the entry of the open flow and denied it from then on. Change: a returned SYN removes only the entry of an incomplete handshake. Evidence: OpenFlowIsHeldAfterItsLateSynWasReturned failed before (Denied instead of Held, no open flow) and passes.

--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -183,7 +183,11 @@
         agent.probes.erase(probe);
         return;
     }
-    removeFlow(agent, summary.flow);
+    // A late copy of a SYN may be returned although the target holds the flow that an earlier copy opened.
+    const auto flow = agent.flows.find(summary.flow);
+    const bool isLateSyn = summary.isInitialSyn() && flow != agent.flows.end() && flow->second.isOpen;
+    if (!isLateSyn)
+        removeFlow(agent, summary.flow);
     auto notice = makeNotice(agent, NoticeKind::Returned, summary.flow);
     notice.packet = packet;
     const Endpoint entry {summary.mark, agent.daemonPort};
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -283,6 +283,17 @@
     EXPECT_EQ(queryFlow(201), FlowVerdict::Held);
 }
 
+// A late copy of the SYN that the target returns, since it accepts no more flows, must not make the agent deny the open flow.
+TEST_F(AgentRelayTest, OpenFlowIsHeldAfterItsLateSynWasReturned)
+{
+    m_agent.hasCompleteFlowTable = true;
+    openFlow();
+    receive(makeSyn(), EnvelopePurpose::Forward, 100);
+    receiveReturned(makeSyn(), 101);
+    EXPECT_EQ(queryFlow(102), FlowVerdict::Held);
+    EXPECT_EQ(m_agent.load.openFlows, 1U);
+}
+
 TEST_F(AgentRelayTest, UnknownFlowIsDeniedAfterPortWasClosed)
 {
     onPortClosed(m_agent, at(0), m_output);
