AgentRelay: Deny no unknown flow after the flow table was full

Callers could see an open flow reset as held by nobody: an agent whose table was full did not record the flow, and a table that counts as complete denied it to the next search. Change: for the maximum age of a flow after the table was last full, the agent answers unknown for flows without an entry, so that the target decides. Evidence: UnknownFlowIsNotDeniedAfterTableWasFull failed before (Denied instead of Unknown) and passes; 60 tests of AgentRelay* and Entry* and the 90 of TestLibEmulator pass.

--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -11,6 +11,8 @@
 
 bool mayDenyUnknownFlows(const AgentRelay &agent, TimePoint now)
 {
+    if (agent.tableFullAt && now - *agent.tableFullAt < agent.limits.maximumFlowAge)
+        return false;
     return agent.hasCompleteFlowTable || now - agent.startedAt >= agent.limits.maximumFlowAge;
 }
 
@@ -49,13 +51,15 @@
 }
 
 /// Returns the entry of a flow and creates it if necessary. Returns nothing when the table is full.
-AgentFlow *findOrCreateFlow(AgentRelay &agent, const FlowKey &key)
+AgentFlow *findOrCreateFlow(AgentRelay &agent, const FlowKey &key, TimePoint now)
 {
     const auto existing = agent.flows.find(key);
     if (existing != agent.flows.end())
         return &existing->second;
-    if (agent.flows.size() >= agent.limits.flows)
+    if (agent.flows.size() >= agent.limits.flows) {
+        agent.tableFullAt = now;
         return nullptr;
+    }
     return &agent.flows[key];
 }
 
@@ -71,7 +75,7 @@
 {
     if (!agent.unansweredSynSince)
         agent.unansweredSynSince = now;
-    if (auto *flow = findOrCreateFlow(agent, summary.flow)) {
+    if (auto *flow = findOrCreateFlow(agent, summary.flow, now)) {
         flow->entry = entry;
         flow->lastSeenAt = now;
     }
@@ -323,7 +327,7 @@
         removeFlow(agent, summary.flow);
         return;
     }
-    auto *flow = findOrCreateFlow(agent, summary.flow);
+    auto *flow = findOrCreateFlow(agent, summary.flow, now);
     if (flow != nullptr)
         updateFromTarget(agent, summary, *flow, now);
     if (const auto probe = agent.probes.find(summary.flow); probe != agent.probes.end()) {
--- a/Libraries/LibCoordination/AgentRelay.h
+++ b/Libraries/LibCoordination/AgentRelay.h
@@ -88,6 +88,8 @@
     /// the target or together with it, or after the target's port was closed. Without this flag the same holds once the agent has
     /// run for `maximumFlowAge`.
     bool hasCompleteFlowTable = false;
+    /// When a flow was last left out because the table was full; nothing if that never happened.
+    std::optional<TimePoint> tableFullAt;
     std::unordered_map<FlowKey, AgentFlow> flows;
     std::unordered_map<FlowKey, FlowProbe> probes;
     std::unordered_map<Endpoint, ReportSubscription> subscriptions;
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -294,6 +294,17 @@
     EXPECT_EQ(m_agent.load.openFlows, 1U);
 }
 
+// An agent whose flow table was full does not know all flows of its target and must not deny the others.
+TEST_F(AgentRelayTest, UnknownFlowIsNotDeniedAfterTableWasFull)
+{
+    m_agent.hasCompleteFlowTable = true;
+    m_agent.limits.flows = 0;
+    receive(makeSyn(), EnvelopePurpose::Forward, 0);
+    EXPECT_EQ(queryFlow(1), FlowVerdict::Unknown);
+    EXPECT_EQ(queryFlow(61'000), FlowVerdict::Unknown);
+    EXPECT_EQ(queryFlow(62'000), FlowVerdict::Denied);
+}
+
 TEST_F(AgentRelayTest, UnknownFlowIsDeniedAfterPortWasClosed)
 {
     onPortClosed(m_agent, at(0), m_output);
