LibEmulator: Freeze entry daemons

Callers saw open flows reset by an entry daemon (lost_at_target) while their target served, after half of the entry daemons were frozen. The emulator could not show it: its daemons had no sockets in which packets wait, and one process could not stand still.

Change: EmulatedProcess is the event loop of the real daemons: two bounded sockets read in batches of 64 in the order in which they became readable, then the mailbox, then the tick. freezeEntry() and thawEntry() suspend it. EmulatedFabric checks readiness twice a second and uses all daemons when fewer than half are in rotation. Entry daemons, agents and the fabric have files of their own, and FlowJournal records what happens to each flow. Callers advance sequence and acknowledgement numbers; before, every second request of a flow counted as a retransmission.

--- a/Libraries/LibEmulator/EmulatedCallers.cpp
+++ b/Libraries/LibEmulator/EmulatedCallers.cpp
@@ -174,8 +174,13 @@
 void EmulatedCallers::onAnswer(const EmulatedPacket &packet, Flow &flow)
 {
     const auto key = packet.summary.flow;
+    const bool isExpected = packet.request == flow.request && !flow.isAnswered;
+    if (isExpected) {
+        flow.sequence += RequestLength;
+        flow.acknowledgement += packet.summary.length;
+    }
     sendAcknowledgement(key, flow);
-    if (packet.request != flow.request || flow.isAnswered)
+    if (!isExpected)
         return;
     flow.isAnswered = true;
     const auto id = flow.request;
@@ -202,7 +207,7 @@
     const auto flow = m_flows.at(key);
     ++m_statistics[flow.kind].resets;
     if (flow.isOpen && m_isHeld(key))
-        ++m_brokenFlows;
+        m_brokenFlows.push_back(key);
     std::erase(m_idleFlows[flow.kind], key);
     m_flows.erase(key);
     const bool isAwaitingAnswer = flow.request != 0 && !flow.isAnswered;
--- a/Libraries/LibEmulator/EmulatedCallers.h
+++ b/Libraries/LibEmulator/EmulatedCallers.h
@@ -59,7 +59,8 @@
 
     [[nodiscard]] const std::vector<RequestStatistics> &statistics() const { return m_statistics; }
     /// Number of open flows that were reset although a target held them.
-    [[nodiscard]] std::uint64_t brokenFlows() const { return m_brokenFlows; }
+    [[nodiscard]] std::uint64_t brokenFlows() const { return m_brokenFlows.size(); }
+    [[nodiscard]] const std::vector<FlowKey> &brokenFlowKeys() const { return m_brokenFlows; }
     [[nodiscard]] const std::vector<RequestKind> &kinds() const { return m_kinds; }
 
 private:
@@ -104,7 +105,7 @@
     std::unordered_map<FlowKey, Flow> m_flows;
     std::vector<std::vector<FlowKey>> m_idleFlows;
     std::vector<RequestStatistics> m_statistics;
-    std::uint64_t m_brokenFlows = 0;
+    std::vector<FlowKey> m_brokenFlows;
     std::uint64_t m_nextRequest = 1;
     std::uint32_t m_nextFlow = 0;
 };
--- a/Libraries/LibEmulator/RelaySimulation.cpp
+++ b/Libraries/LibEmulator/RelaySimulation.cpp
@@ -1,6 +1,5 @@
 #include "LibEmulator/RelaySimulation.h"
 
-#include "LibCoordination/EntrySearch.h"
 #include "LibCoordination/RendezvousHash.h"
 
 #include <algorithm>
@@ -13,13 +12,6 @@
 constexpr std::uint16_t ApplicationPort = 8'165;
 constexpr std::uint32_t FirstEntryAddress = 0x0a010001;
 constexpr std::uint32_t FirstTargetAddress = 0x0a020001;
-constexpr Duration EntryTickInterval {100};
-constexpr Duration AgentTickInterval {100};
-/// How often an entry daemon sends the queries that are due.
-constexpr Duration QueryInterval {20};
-constexpr Duration SubscriptionInterval {2'000};
-/// Time until the fabric takes an entry daemon out of rotation after the daemon died or reported that it is stopping.
-constexpr Duration FabricDetectionTime {1'000};
 constexpr Duration GracefulStopTime {2'200};
 constexpr Duration StartTime {300};
 
@@ -45,150 +37,6 @@
     return {service, address, {{hashOf(service), service, 1}}, true};
 }
 
-/// An entry daemon whose decisions are carried out on the emulated network.
-struct RelaySimulation::EntryNode : EntryOutput {
-    EntryNode(RelaySimulation &parent, Endpoint endpoint, std::string domain)
-        : simulation(parent)
-        , address(endpoint)
-        , failureDomain(std::move(domain))
-    {
-    }
-
-    void sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope) override
-    {
-        const auto bytes = encoder.encode(envelope);
-        simulation.sendToAgentNode(address, agent, {bytes.begin(), bytes.end()});
-    }
-
-    void sendQuery(const Endpoint &agent, const RelayQuery &query) override
-    {
-        const auto bytes = encoder.encode(query);
-        simulation.sendToAgentNode(address, agent, {bytes.begin(), bytes.end()});
-    }
-
-    void resetCaller(const FlowKey &flow, std::uint32_t) override
-    {
-        EmulatedPacket packet;
-        packet.summary.flow = flow;
-        packet.summary.isReset = true;
-        simulation.sendToCallers(packet);
-    }
-
-    void refreshTargets() override { }
-
-    void recordDecision(const FlowKey &, RelayReason reason, const Endpoint &) override
-    {
-        ++simulation.m_decisions[static_cast<std::size_t>(reason)];
-    }
-
-    void receive(const Endpoint &agent, std::span<const std::byte> datagram)
-    {
-        const auto message = decodeRelayDatagram(datagram);
-        if (message.has_error())
-            return;
-        const auto now = simulation.m_events.now();
-        if (const auto *report = std::get_if<RelayReport>(&message.value()))
-            onReport(relay, agent, *report, now, *this);
-        if (const auto *answer = std::get_if<RelayAnswer>(&message.value()))
-            onAnswer(relay, agent, *answer, now, *this);
-        const auto *notice = std::get_if<RelayNotice>(&message.value());
-        if (notice == nullptr)
-            return;
-        std::optional<PacketSummary> returned;
-        if (!notice->packet.empty())
-            returned = fromBytes(notice->packet).summary;
-        onNotice(relay, agent, *notice, returned, now, *this);
-    }
-
-    RelaySimulation &simulation;
-    Endpoint address;
-    std::string failureDomain;
-    EntryRelay relay;
-    RelayEncoder encoder;
-    bool isUp = false;
-    bool isInRotation = false;
-    /// Incremented when the daemon starts or stops, so that actions scheduled for an earlier process are dropped.
-    std::uint64_t generation = 0;
-    TimePoint subscribedAt;
-};
-
-/// An agent and the target on the same VM.
-struct RelaySimulation::AgentNode : AgentOutput {
-    AgentNode(RelaySimulation &parent, Endpoint endpoint)
-        : simulation(parent)
-        , address(endpoint)
-    {
-    }
-
-    void sendToTarget(std::span<const std::byte> packet, std::uint32_t mark) override
-    {
-        auto copy = fromBytes(packet);
-        copy.summary.mark = mark;
-        if (target->isUp()) {
-            target->receive(copy);
-            return;
-        }
-        if (!target->isDraining())
-            onPortClosed(relay, simulation.m_events.now(), *this);
-    }
-
-    void sendToCaller(const Endpoint &, std::span<const std::byte> packet) override { simulation.sendToCallers(fromBytes(packet)); }
-
-    void sendNotice(const Endpoint &entry, const RelayNotice &notice) override
-    {
-        const auto bytes = encoder.encode(notice);
-        simulation.sendToEntryNode(address, entry, {bytes.begin(), bytes.end()});
-    }
-
-    void sendReport(const Endpoint &entry, const RelayReport &report) override
-    {
-        const auto bytes = encoder.encode(report);
-        simulation.sendToEntryNode(address, entry, {bytes.begin(), bytes.end()});
-    }
-
-    void receive(const Endpoint &entry, std::span<const std::byte> datagram)
-    {
-        const auto message = decodeRelayDatagram(datagram);
-        if (message.has_error())
-            return;
-        if (const auto *query = std::get_if<RelayQuery>(&message.value())) {
-            const auto bytes = encoder.encode(answerQuery(relay, entry, *query, simulation.m_events.now()));
-            simulation.sendToEntryNode(address, entry, {bytes.begin(), bytes.end()});
-        }
-        const auto *envelope = std::get_if<RelayEnvelope>(&message.value());
-        if (envelope == nullptr)
-            return;
-        std::optional<PacketSummary> summary;
-        if (!envelope->packet.empty())
-            summary = fromBytes(envelope->packet).summary;
-        onEnvelope(relay, entry, *envelope, summary, simulation.m_events.now(), *this);
-    }
-
-    void receiveFromTarget(const EmulatedPacket &packet)
-    {
-        if (!isUp)
-            return;
-        auto restored = packet;
-        if (packet.summary.isReturned) {
-            restored.summary.isReturned = false;
-            restored.summary.mark = 0;
-        }
-        const auto bytes = toBytes(restored);
-        onTargetPacket(relay, packet.summary, bytes, simulation.m_events.now(), *this);
-    }
-
-    RelaySimulation &simulation;
-    Endpoint address;
-    AgentRelay relay;
-    RelayEncoder encoder;
-    std::unique_ptr<EmulatedTarget> target;
-    bool isUp = false;
-    /// Incremented when the agent starts or stops, so that actions scheduled for an earlier process are dropped.
-    std::uint64_t generation = 0;
-    /// Store revision at which the target was listed; 0 while the target is withdrawn.
-    std::uint64_t listingRevision = 0;
-};
-
 RelaySimulation::RelaySimulation(SimulationOptions options)
     : m_random(options.seed)
     , m_options(std::move(options))
@@ -197,15 +45,18 @@
         m_events,
         m_random(),
         m_options.kinds,
-        [this](const EmulatedPacket &packet) { transmit(m_options.network.callerDelay, [this, packet] { deliverCallerPacket(packet); }); },
+        [this](const EmulatedPacket &packet) { transmit(m_options.network.callerDelay, [this, packet] { m_fabric.deliver(packet); }); },
         [this](const FlowKey &flow) { return isHeldByTarget(flow); });
     publishRoutes(m_options.routes);
     for (const auto &target : m_options.targets)
         addTarget(target);
+    EmulatedNetwork &network = *this;
     for (std::size_t index = 0; index < m_options.entryDaemons; ++index) {
         const Endpoint address {FirstEntryAddress + static_cast<std::uint32_t>(index), DaemonPort};
-        m_entries.push_back(std::make_unique<EntryNode>(*this, address, m_options.failureDomains[index % m_options.failureDomains.size()]));
+        const auto &domain = m_options.failureDomains[index % m_options.failureDomains.size()];
+        m_entries.push_back(std::make_unique<EmulatedEntry>(m_events, network, address, "entry-" + std::to_string(index), domain));
         startEntry(index);
+        m_fabric.add(*m_entries.back());
     }
     run(Duration(500));
 }
@@ -234,124 +85,124 @@
     return left == right ? m_options.network.sameDomainDelay : m_options.network.crossDomainDelay;
 }
 
-void RelaySimulation::deliverCallerPacket(const EmulatedPacket &packet)
+void RelaySimulation::sendToAgent(const Endpoint &entry, const Endpoint &agent, std::vector<std::byte> datagram)
 {
-    std::vector<std::uint64_t> ids;
-    std::vector<EntryNode *> inRotation;
-    for (const auto &entry : m_entries) {
-        if (!entry->isInRotation)
-            continue;
-        ids.push_back(entry->address.address);
-        inRotation.push_back(entry.get());
-    }
-    const auto chosen = rendezvousFirst(ids, hashOf(packet.summary.flow));
-    if (chosen == ids.size() || !inRotation[chosen]->isUp)
+    const auto node = std::find_if(m_agents.begin(), m_agents.end(), [&](const auto &other) { return other.agent->address() == agent; });
+    const auto sender = std::find_if(m_entries.begin(), m_entries.end(), [&](const auto &other) { return other->address() == entry; });
+    if (node == m_agents.end() || sender == m_entries.end())
         return;
-    auto &entry = *inRotation[chosen];
-    onCallerPacket(entry.relay, packet.summary, toBytes(packet), m_events.now(), entry);
+    const auto delay = delayBetween((*sender)->failureDomain(), node->agent->target().options().failureDomain);
+    transmit(delay, [receiver = node->agent.get(), entry, bytes = std::move(datagram)] { receiver->receiveFromEntry(entry, bytes); });
 }
 
-void RelaySimulation::sendToAgentNode(const Endpoint &from, const Endpoint &to, std::vector<std::byte> datagram)
+void RelaySimulation::sendToEntry(const Endpoint &agent, const Endpoint &entry, std::vector<std::byte> datagram)
 {
-    const auto agent = std::find_if(m_agents.begin(), m_agents.end(), [&](const auto &node) { return node->address == to; });
-    if (agent == m_agents.end())
+    const auto node = std::find_if(m_entries.begin(), m_entries.end(), [&](const auto &other) { return other->address() == entry; });
+    if (node == m_entries.end())
         return;
-    const auto entry = std::find_if(m_entries.begin(), m_entries.end(), [&](const auto &node) { return node->address == from; });
-    const auto delay = delayBetween((*entry)->failureDomain, (*agent)->target->options().failureDomain);
-    transmit(delay, [node = agent->get(), from, bytes = std::move(datagram)] {
-        if (node->isUp)
-            node->receive(from, bytes);
-    });
+    transmit(m_options.network.crossDomainDelay,
+             [receiver = node->get(), agent, bytes = std::move(datagram)] { receiver->receiveFromAgent(agent, bytes); });
 }
 
-void RelaySimulation::sendToEntryNode(const Endpoint &from, const Endpoint &to, std::vector<std::byte> datagram)
+void RelaySimulation::sendToCallers(const EmulatedPacket &packet)
 {
-    const auto entry = std::find_if(m_entries.begin(), m_entries.end(), [&](const auto &node) { return node->address == to; });
-    if (entry == m_entries.end())
-        return;
-    transmit(m_options.network.crossDomainDelay, [node = entry->get(), from, bytes = std::move(datagram)] {
-        if (node->isUp)
-            node->receive(from, bytes);
-    });
+    transmit(m_options.network.callerDelay, [this, packet] { m_callers->receive(packet); });
 }
 
-void RelaySimulation::sendToCallers(const EmulatedPacket &packet)
+void RelaySimulation::recordDecision(const std::string &entry, const FlowKey &flow, RelayReason reason, const Endpoint &agent)
 {
-    transmit(m_options.network.callerDelay, [this, packet] { m_callers->receive(packet); });
+    ++m_decisions[static_cast<std::size_t>(reason)];
+    recordEvent(entry, flow, std::string(relayReasonName(reason)) + " " + nameOfAgent(agent));
+}
+
+void RelaySimulation::recordEvent(const std::string &process, const FlowKey &flow, const std::string &event)
+{
+    m_journal.record(flow, m_events.now(), process, event);
+}
+
+void RelaySimulation::recordTargetPacket(const Endpoint &, const PacketSummary &) { }
+
+std::string RelaySimulation::nameOfAgent(const Endpoint &agent) const
+{
+    const auto node = std::find_if(m_agents.begin(), m_agents.end(), [&](const auto &other) { return other.agent->address() == agent; });
+    return node == m_agents.end() ? std::string {} : node->agent->target().options().name;
+}
+
+std::string RelaySimulation::brokenFlowEvents() const
+{
+    std::string text;
+    for (const auto &flow : m_callers->brokenFlowKeys())
+        text += m_journal.table(flow);
+    return text;
 }
 
 void RelaySimulation::killEntry(std::size_t index)
 {
-    auto &entry = *m_entries.at(index);
-    entry.isUp = false;
-    const auto generation = ++entry.generation;
-    m_events.schedule(FabricDetectionTime, [&entry, generation] {
-        if (entry.generation == generation)
-            entry.isInRotation = false;
-    });
+    m_entries.at(index)->process().stop();
+    m_journal.recordForAll(m_events.now(), m_entries[index]->name(), "killed");
 }
 
 void RelaySimulation::startEntry(std::size_t index)
 {
-    auto &entry = *m_entries.at(index);
-    entry.relay = EntryRelay {};
-    entry.relay.weights = m_options.weights;
-    entry.relay.failureDomain = entry.failureDomain;
-    entry.relay.startedAt = m_events.now();
-    entry.isUp = true;
-    const auto generation = ++entry.generation;
-    (void)setRoutes(entry.relay, m_routes, m_events.now());
+    std::vector<PublishedTarget> targets;
     for (std::size_t target = 0; target < m_agents.size(); ++target) {
-        if (m_agents[target]->listingRevision > 0)
-            publishTo(entry, publicationOf(target));
+        if (m_agents[target].listingRevision > 0)
+            targets.push_back(publicationOf(target));
     }
-    markTargetsListed(entry.relay, m_events.now());
-    entry.relay.watchStartedAt = m_events.now();
-    markTargetsCurrent(entry.relay, m_events.now());
-    entry.isInRotation = true;
-    runEntryTick(index, generation);
-    sendDueQueries(index, generation);
+    m_entries.at(index)->start(m_options.weights, m_routes, targets);
+    m_journal.recordForAll(m_events.now(), m_entries[index]->name(), "started");
 }
 
 void RelaySimulation::restartEntryGracefully(std::size_t index)
 {
-    m_events.schedule(FabricDetectionTime, [this, index] { m_entries.at(index)->isInRotation = false; });
+    m_entries.at(index)->beginStop();
+    m_journal.recordForAll(m_events.now(), m_entries[index]->name(), "begins to stop");
     m_events.schedule(GracefulStopTime, [this, index] { killEntry(index); });
     m_events.schedule(GracefulStopTime + StartTime, [this, index] { startEntry(index); });
 }
 
+void RelaySimulation::freezeEntry(std::size_t index)
+{
+    m_entries.at(index)->process().freeze();
+    m_journal.recordForAll(m_events.now(), m_entries[index]->name(), "frozen");
+}
+
+void RelaySimulation::thawEntry(std::size_t index)
+{
+    m_entries.at(index)->process().thaw();
+    m_journal.recordForAll(m_events.now(), m_entries[index]->name(), "thawed");
+}
+
 void RelaySimulation::killAgent(std::size_t index)
 {
-    m_agents.at(index)->isUp = false;
-    ++m_agents.at(index)->generation;
+    m_agents.at(index).agent->process().stop();
+    m_journal.recordForAll(m_events.now(), target(index).options().name, "agent stopped");
 }
 
 void RelaySimulation::startAgent(std::size_t index)
 {
-    auto &agent = *m_agents.at(index);
-    agent.relay = AgentRelay {};
-    agent.relay.service = agent.target->options().service;
-    agent.relay.daemonPort = DaemonPort;
-    agent.relay.startedAt = m_events.now();
-    agent.isUp = true;
-    runAgentTick(index, ++agent.generation);
+    m_agents.at(index).agent->start(FlowTableState::Incomplete);
+    m_journal.recordForAll(m_events.now(), target(index).options().name, "agent started");
 }
 
 void RelaySimulation::crashTarget(std::size_t index)
 {
-    m_agents.at(index)->target->crash();
+    target(index).crash();
+    m_journal.recordForAll(m_events.now(), target(index).options().name, "target crashed");
 }
 
 void RelaySimulation::restartTarget(std::size_t index)
 {
-    m_agents.at(index)->target->restart();
-    m_agents.at(index)->listingRevision = ++m_revision;
+    target(index).restart();
+    m_journal.recordForAll(m_events.now(), target(index).options().name, "target restarted");
+    m_agents.at(index).listingRevision = ++m_revision;
     publishTarget(index);
 }
 
 void RelaySimulation::drainTarget(std::size_t index)
 {
-    m_agents.at(index)->target->setDraining();
+    target(index).setDraining();
+    m_journal.recordForAll(m_events.now(), target(index).options().name, "target drains");
     publishTarget(index);
 }
 
@@ -360,31 +211,28 @@
     const auto index = m_agents.size();
     auto assigned = options;
     assigned.address = {FirstTargetAddress + static_cast<std::uint32_t>(index), ApplicationPort};
-    auto node = std::make_unique<AgentNode>(*this, Endpoint {assigned.address.address, DaemonPort});
-    auto *nodePointer = node.get();
     const auto service = assigned.service;
-    node->target = std::make_unique<EmulatedTarget>(
+    auto target = std::make_unique<EmulatedTarget>(
         m_events,
         m_random(),
         assigned,
-        [nodePointer](const EmulatedPacket &packet) { nodePointer->receiveFromTarget(packet); },
+        [this, index](const EmulatedPacket &packet) { m_agents[index].agent->receiveFromTarget(packet); },
         [this, service](std::uint64_t request, const FlowKey &flow) { recordRequestStart(request, flow, service); });
-    node->listingRevision = ++m_revision;
-    m_agents.push_back(std::move(node));
-    startAgent(index);
-    nodePointer->relay.hasCompleteFlowTable = true;
+    const Endpoint address {assigned.address.address, DaemonPort};
+    EmulatedNetwork &network = *this;
+    m_agents.push_back({std::make_unique<EmulatedAgent>(m_events, network, address, std::move(target)), ++m_revision});
+    m_agents[index].agent->start(FlowTableState::Complete);
     publishTarget(index);
     return index;
 }
 
 void RelaySimulation::withdrawTarget(std::size_t index, Duration grace)
 {
-    m_agents.at(index)->listingRevision = 0;
+    m_agents.at(index).listingRevision = 0;
     const auto id = publicationOf(index).id;
-    for (const auto &entry : m_entries) {
-        if (entry->isUp)
-            (void)applyWithdrawn(entry->relay.directory, id, m_events.now() + grace);
-    }
+    for (const auto &entry : m_entries)
+        entry->withdrawTarget(id, grace);
+    m_journal.recordForAll(m_events.now(), target(index).options().name, "withdrawn");
 }
 
 void RelaySimulation::publishRoutes(std::vector<Route> routes)
@@ -398,83 +246,46 @@
         m_routes.routes.emplace(route.address, route);
     }
     for (const auto &entry : m_entries) {
-        m_events.schedule(m_options.network.publicationDelay, [this, node = entry.get(), generation = entry->generation, table = m_routes] {
-            if (node->isUp && node->generation == generation)
-                (void)setRoutes(node->relay, table, m_events.now());
-        });
+        m_events.schedule(m_options.network.publicationDelay,
+                          [node = entry.get(), generation = entry->process().generation(), table = m_routes] {
+                              if (node->process().generation() == generation)
+                                  node->publishRoutes(table);
+                          });
     }
 }
 
 PublishedTarget RelaySimulation::publicationOf(std::size_t index) const
 {
-    const auto &node = *m_agents.at(index);
-    const auto &options = node.target->options();
+    const auto &node = m_agents.at(index);
+    const auto &options = node.agent->target().options();
     PublishedTarget target;
     target.name = options.name;
     target.id = hashOf(options.name);
     target.service = options.service;
     target.application = options.address;
-    target.agent = node.address;
+    target.agent = node.agent->address();
     target.failureDomain = options.failureDomain;
     target.slots = options.slots;
-    target.isDraining = node.target->isDraining();
-    target.incarnation = node.target->incarnation();
+    target.isDraining = node.agent->target().isDraining();
+    target.incarnation = node.agent->target().incarnation();
     target.listingRevision = node.listingRevision;
     return target;
 }
 
 void RelaySimulation::publishTarget(std::size_t index)
 {
-    const auto target = publicationOf(index);
+    const auto published = publicationOf(index);
     for (const auto &entry : m_entries) {
-        m_events.schedule(m_options.network.publicationDelay, [this, node = entry.get(), generation = entry->generation, target] {
-            if (node->isUp && node->generation == generation)
-                publishTo(*node, target);
+        m_events.schedule(m_options.network.publicationDelay, [node = entry.get(), generation = entry->process().generation(), published] {
+            if (node->process().generation() == generation)
+                node->publishTarget(published);
         });
     }
 }
 
-void RelaySimulation::publishTo(EntryNode &entry, const PublishedTarget &target)
-{
-    (void)onTargetPublished(entry.relay, target, m_events.now(), entry);
-    entry.sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}});
-}
-
-void RelaySimulation::runEntryTick(std::size_t index, std::uint64_t generation)
-{
-    auto &entry = *m_entries.at(index);
-    if (!entry.isUp || entry.generation != generation)
-        return;
-    onEntryTick(entry.relay, m_events.now(), entry);
-    if (m_events.now() - entry.subscribedAt >= SubscriptionInterval) {
-        entry.subscribedAt = m_events.now();
-        for (const auto &[id, record] : entry.relay.directory.targets)
-            entry.sendToAgent(record.published.agent, {record.published.service, EnvelopePurpose::Subscribe, {}});
-    }
-    m_events.schedule(EntryTickInterval, [this, index, generation] { runEntryTick(index, generation); });
-}
-
-void RelaySimulation::sendDueQueries(std::size_t index, std::uint64_t generation)
-{
-    auto &entry = *m_entries.at(index);
-    if (!entry.isUp || entry.generation != generation)
-        return;
-    sendQueries(entry.relay, m_events.now(), entry);
-    m_events.schedule(QueryInterval, [this, index, generation] { sendDueQueries(index, generation); });
-}
-
-void RelaySimulation::runAgentTick(std::size_t index, std::uint64_t generation)
-{
-    auto &agent = *m_agents.at(index);
-    if (!agent.isUp || agent.generation != generation)
-        return;
-    onAgentTick(agent.relay, m_events.now(), agent);
-    m_events.schedule(AgentTickInterval, [this, index, generation] { runAgentTick(index, generation); });
-}
-
 EmulatedTarget &RelaySimulation::target(std::size_t index)
 {
-    return *m_agents.at(index)->target;
+    return m_agents.at(index).agent->target();
 }
 
 void RelaySimulation::recordRequestStart(std::uint64_t request, const FlowKey &flow, ServiceId service)
@@ -495,7 +306,7 @@
 
 bool RelaySimulation::isHeldByTarget(const FlowKey &flow) const
 {
-    return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto &agent) { return agent->target->holds(flow); });
+    return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto &node) { return node.agent->target().holds(flow); });
 }
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/RelaySimulation.h
+++ b/Libraries/LibEmulator/RelaySimulation.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "LibCoordination/AgentRelay.h"
-#include "LibCoordination/EntryRelay.h"
+#include "LibEmulator/EmulatedAgent.h"
 #include "LibEmulator/EmulatedCallers.h"
-#include "LibEmulator/EmulatedTarget.h"
-#include "LibProtocol/RelayCodec.h"
+#include "LibEmulator/EmulatedEntry.h"
+#include "LibEmulator/EmulatedFabric.h"
+#include "LibEmulator/FlowJournal.h"
 
 #include <array>
 #include <memory>
@@ -49,11 +49,11 @@
 /// Simulates a relay system in virtual time. It runs the production decision code and codec of the relay daemons between emulated
 /// callers and targets. The emulated fabric hashes flows over the entry daemons that are in rotation. A run is deterministic for
 /// a given seed.
-class RelaySimulation
+class RelaySimulation : private EmulatedNetwork
 {
 public:
     explicit RelaySimulation(SimulationOptions options);
-    ~RelaySimulation();
+    ~RelaySimulation() override;
     RelaySimulation(const RelaySimulation &) = delete;
     RelaySimulation &operator=(const RelaySimulation &) = delete;
 
@@ -64,12 +64,15 @@
     /// Makes the callers generate requests for a duration from now on.
     void startCallers(Duration duration);
 
-    /// Kills an entry daemon, which loses its state. The fabric takes the daemon out of rotation one second later.
+    /// Kills an entry daemon, which loses its state. The fabric takes the daemon out of rotation within a second.
     void killEntry(std::size_t index);
     void startEntry(std::size_t index);
-    /// Restarts an entry daemon gracefully. The fabric takes the daemon out of rotation one second after the call. The daemon stops
-    /// about two seconds after the call and then starts again.
+    /// Restarts an entry daemon gracefully. The fabric takes the daemon out of rotation within a second after the call. The daemon
+    /// stops about two seconds after the call and then starts again.
     void restartEntryGracefully(std::size_t index);
+    /// Suspends an entry daemon, as when its VM is paused. Packets and datagrams wait in its sockets until thawEntry().
+    void freezeEntry(std::size_t index);
+    void thawEntry(std::size_t index);
     /// Kills an agent, which loses its state. Its target keeps running.
     void killAgent(std::size_t index);
     void startAgent(std::size_t index);
@@ -87,6 +90,8 @@
     [[nodiscard]] EmulatedCallers &callers() { return *m_callers; }
     [[nodiscard]] EmulatedTarget &target(std::size_t index);
     [[nodiscard]] std::size_t targetCount() const { return m_agents.size(); }
+    /// Returns the recorded events of the flows that were reset although a target held them.
+    [[nodiscard]] std::string brokenFlowEvents() const;
     /// Number of request starts at targets of a service that no route for the request's address ever contained.
     [[nodiscard]] std::uint64_t misroutedRequests() const { return m_misroutedRequests; }
     /// Number of repeated starts of requests that are not idempotent.
@@ -95,33 +100,36 @@
     [[nodiscard]] std::uint64_t decisionCount(RelayReason reason) const { return m_decisions[static_cast<std::size_t>(reason)]; }
 
 private:
-    struct EntryNode;
-    struct AgentNode;
-    friend struct EntryNode;
-    friend struct AgentNode;
+    struct VmNode {
+        std::unique_ptr<EmulatedAgent> agent;
+        /// Store revision at which the target was listed; 0 while the target is withdrawn.
+        std::uint64_t listingRevision = 0;
+    };
+
+    void sendToAgent(const Endpoint &entry, const Endpoint &agent, std::vector<std::byte> datagram) override;
+    void sendToEntry(const Endpoint &agent, const Endpoint &entry, std::vector<std::byte> datagram) override;
+    void sendToCallers(const EmulatedPacket &packet) override;
+    void recordDecision(const std::string &entry, const FlowKey &flow, RelayReason reason, const Endpoint &agent) override;
+    void recordEvent(const std::string &process, const FlowKey &flow, const std::string &event) override;
+    void recordTargetPacket(const Endpoint &agent, const PacketSummary &packet) override;
 
     void transmit(Duration delay, EventQueue::Action delivery);
-    void deliverCallerPacket(const EmulatedPacket &packet);
-    void sendToAgentNode(const Endpoint &from, const Endpoint &to, std::vector<std::byte> datagram);
-    void sendToEntryNode(const Endpoint &from, const Endpoint &to, std::vector<std::byte> datagram);
-    void sendToCallers(const EmulatedPacket &packet);
     void publishTarget(std::size_t index);
-    void publishTo(EntryNode &entry, const PublishedTarget &target);
     [[nodiscard]] PublishedTarget publicationOf(std::size_t index) const;
-    void runEntryTick(std::size_t index, std::uint64_t generation);
-    void sendDueQueries(std::size_t index, std::uint64_t generation);
-    void runAgentTick(std::size_t index, std::uint64_t generation);
     void recordRequestStart(std::uint64_t request, const FlowKey &flow, ServiceId service);
     [[nodiscard]] bool isHeldByTarget(const FlowKey &flow) const;
     [[nodiscard]] bool wasEverRouted(const Endpoint &address, ServiceId service) const;
     [[nodiscard]] Duration delayBetween(const std::string &left, const std::string &right) const;
+    [[nodiscard]] std::string nameOfAgent(const Endpoint &agent) const;
 
     EventQueue m_events;
     std::mt19937_64 m_random;
     SimulationOptions m_options;
-    std::vector<std::unique_ptr<EntryNode>> m_entries;
-    std::vector<std::unique_ptr<AgentNode>> m_agents;
+    EmulatedFabric m_fabric {m_events};
+    std::vector<std::unique_ptr<EmulatedEntry>> m_entries;
+    std::vector<VmNode> m_agents;
     std::unique_ptr<EmulatedCallers> m_callers;
+    FlowJournal m_journal;
     RouteTable m_routes;
     std::uint64_t m_revision = 1;
     std::vector<std::pair<Endpoint, ServiceId>> m_routedServices;
--- a/Tests/LibEmulator/TestRelaySimulation.cpp
+++ b/Tests/LibEmulator/TestRelaySimulation.cpp
@@ -32,7 +32,7 @@
 {
     EXPECT_EQ(simulation.misroutedRequests(), 0U);
     EXPECT_EQ(simulation.duplicateRequests(), 0U);
-    EXPECT_EQ(simulation.callers().brokenFlows(), 0U);
+    EXPECT_EQ(simulation.callers().brokenFlows(), 0U) << simulation.brokenFlowEvents();
 }
 
 std::uint64_t failedRequests(const RelaySimulation &simulation)
@@ -195,6 +195,48 @@
     EXPECT_LE(static_cast<double>(failedRequests(simulation)), 0.005 * static_cast<double>(started));
 }
 
+/// Returns a simulation of six entry daemons of which the first three are frozen from 4 s to 7 s, while callers open flows.
+std::unique_ptr<RelaySimulation> simulateFrozenEntryDaemons(std::uint64_t seed)
+{
+    auto options = makeOptions(seed);
+    options.entryDaemons = 6;
+    auto simulation = std::make_unique<RelaySimulation>(options);
+    simulation->startCallers(Duration(20'000));
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        simulation->schedule(Duration(4'000), [&simulation = *simulation, entry] { simulation.freezeEntry(entry); });
+        simulation->schedule(Duration(7'000), [&simulation = *simulation, entry] { simulation.thawEntry(entry); });
+    }
+    return simulation;
+}
+
+// Guards against resets by an entry daemon that reads an old SYN and packets of the open flow in one batch after it was frozen.
+TEST_P(RelaySimulationSeeds, RestartsDuringAFreezeOfEntryDaemonsBreakNoFlow)
+{
+    const auto simulation = simulateFrozenEntryDaemons(GetParam());
+    for (std::size_t entry = 3; entry < 6; ++entry)
+        simulation->schedule(Duration(5'500 + 900 * static_cast<Duration::rep>(entry - 3)),
+                             [&, entry] { simulation->restartEntryGracefully(entry); });
+    simulation->run(Duration(24'000));
+    expectInvariants(*simulation);
+    EXPECT_GT(simulation->decisionCount(RelayReason::SearchFound), 0U);
+}
+
+// Guards against an agent that counts a flow as open at its target, although the target only got an old SYN of it.
+TEST_P(RelaySimulationSeeds, RestartsAfterAFreezeOfEntryDaemonsBreakNoFlow)
+{
+    const auto simulation = simulateFrozenEntryDaemons(GetParam());
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        const auto offset = 300 * static_cast<Duration::rep>(entry);
+        simulation->schedule(Duration(7'050), [&, entry] { simulation->killEntry(entry); });
+        simulation->schedule(Duration(7'350), [&, entry] { simulation->startEntry(entry); });
+        simulation->schedule(Duration(8'000 + offset), [&, entry] { simulation->restartEntryGracefully(entry); });
+        simulation->schedule(Duration(11'500 + offset), [&, entry] { simulation->restartEntryGracefully(entry + 3); });
+    }
+    simulation->run(Duration(24'000));
+    expectInvariants(*simulation);
+    EXPECT_GT(simulation->decisionCount(RelayReason::SearchFound), 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RelaySimulationSeeds, testing::Range<std::uint64_t>(1, SeedCount + 1));
 
 } // namespace
