--- a/Libraries/LibEmulator/EmulatedAgent.cpp
+++ b/Libraries/LibEmulator/EmulatedAgent.cpp
@@ -1,5 +1,7 @@
 #include "LibEmulator/EmulatedAgent.h"
 
+#include <utility>
+
 namespace Papaya::Emulator {
 
 namespace {
@@ -43,11 +45,26 @@
     m_relay.service = m_target->options().service;
     m_relay.daemonPort = m_address.port;
     m_relay.startedAt = m_events.now();
+    m_relay.agentIncarnation = static_cast<Incarnation>(m_events.now().time_since_epoch().count());
     m_relay.hasCompleteFlowTable = flowTable == FlowTableState::Complete;
     m_tickedAt = {};
     m_process.start();
 }
 
+void EmulatedAgent::stopGracefully()
+{
+    if (m_process.isRunning() && !m_target->isUp())
+        onPortClosed(m_relay, m_events.now(), *this);
+    m_process.stop();
+}
+
+void EmulatedAgent::replaceTarget(std::unique_ptr<EmulatedTarget> target)
+{
+    m_formerTargets.push_back(std::exchange(m_target, std::move(target)));
+    m_formerTargets.back()->crash();
+    m_relay.service = m_target->options().service;
+}
+
 void EmulatedAgent::receiveFromEntry(const Endpoint &entry, std::vector<std::byte> datagram)
 {
     m_process.arrive(ProcessSocket::Daemon, [this, entry, bytes = std::move(datagram)] { handleDatagram(entry, bytes); });
@@ -100,14 +117,16 @@
 {
     auto copy = fromBytes(packet);
     copy.summary.mark = mark;
-    m_network.recordTargetPacket(m_address, copy.summary);
     if (m_target->isUp()) {
         const bool isNew = !m_target->holds(copy.summary.flow);
         if (isNew)
             m_network.recordEvent(m_target->options().name, copy.summary.flow, "target gets " + describe(copy.summary));
         m_target->receive(copy);
-        if (isNew && m_target->holds(copy.summary.flow))
+        if (isNew && m_target->holds(copy.summary.flow)) {
             m_network.recordEvent(m_target->options().name, copy.summary.flow, "flow open at target");
+            m_network.recordOpened(m_address, copy.summary.flow);
+        }
+        m_network.recordTargetPacket(m_address, copy.summary);
         return;
     }
     if (!m_target->isDraining())
--- a/Libraries/LibEmulator/EmulatedAgent.h
+++ b/Libraries/LibEmulator/EmulatedAgent.h
@@ -23,6 +23,11 @@
     /// Starts a new process with an empty state.
     void start(FlowTableState flowTable);
 
+    /// Stops the process after it has reported a closed port of its target.
+    void stopGracefully();
+    /// Replaces the target by another one, of the same or another service. The agent applies the change of the service.
+    void replaceTarget(std::unique_ptr<EmulatedTarget> target);
+
     void receiveFromEntry(const Endpoint &entry, std::vector<std::byte> datagram);
     void receiveFromTarget(const EmulatedPacket &packet);
 
@@ -46,6 +51,8 @@
     EmulatedNetwork &m_network;
     Endpoint m_address;
     std::unique_ptr<EmulatedTarget> m_target;
+    /// Earlier targets, for which actions may still be scheduled.
+    std::vector<std::unique_ptr<EmulatedTarget>> m_formerTargets;
     EmulatedProcess m_process;
     AgentRelay m_relay;
     RelayEncoder m_encoder;
--- a/Libraries/LibEmulator/EmulatedCallers.cpp
+++ b/Libraries/LibEmulator/EmulatedCallers.cpp
@@ -11,6 +11,8 @@
 constexpr std::uint16_t FirstPort = 1'025;
 constexpr std::array<Duration, 2> SynRetransmissionTimes {Duration(200), Duration(600)};
 constexpr Duration SynTimeout {1'400};
+/// Minimum time until a port is used again.
+constexpr Duration PortReuseTime {2'000};
 constexpr Duration InitialRetransmissionTimeout {200};
 constexpr Duration MaximumRetransmissionTimeout {1'600};
 constexpr int MaximumAttempts = 3;
@@ -78,12 +80,29 @@
     sendRequest(key, ++flow.attempt, InitialRetransmissionTimeout);
 }
 
-void EmulatedCallers::openFlow(std::uint64_t id)
+FlowKey EmulatedCallers::chooseFlowKey(std::size_t kind)
 {
+    const bool mayReuse = !m_closedFlows.empty() && m_events.now() - m_closedFlows.front().closedAt >= PortReuseTime;
+    if (mayReuse && std::bernoulli_distribution(m_portReuseRate)(m_random)) {
+        const auto closed = m_closedFlows.front();
+        m_closedFlows.pop_front();
+        return {closed.key.caller, m_kinds[kind].address};
+    }
     const auto number = m_nextFlow++;
     const Endpoint caller {FirstCallerAddress + number / FlowsPerCaller, static_cast<std::uint16_t>(FirstPort + number % FlowsPerCaller)};
+    return {caller, m_kinds[kind].address};
+}
+
+void EmulatedCallers::closeFlow(const FlowKey &key)
+{
+    m_flows.erase(key);
+    m_closedFlows.push_back({key, m_events.now()});
+}
+
+void EmulatedCallers::openFlow(std::uint64_t id)
+{
     const auto kind = m_requests.at(id).kind;
-    const FlowKey key {caller, m_kinds[kind].address};
+    const auto key = chooseFlowKey(kind);
     Flow flow;
     flow.kind = kind;
     flow.sequence = static_cast<std::uint32_t>(m_random());
@@ -98,7 +117,7 @@
         if (opening == m_flows.end() || opening->second.isOpen)
             return;
         const auto request = opening->second.request;
-        m_flows.erase(opening);
+        closeFlow(key);
         failAttempt(request, true);
     });
 }
@@ -154,7 +173,7 @@
     if (flow == m_flows.end())
         return;
     if (packet.summary.isReset)
-        onReset(packet.summary.flow);
+        onReset(packet);
     else if (packet.summary.isSyn)
         onSynAck(packet, flow->second);
     else if (packet.request != 0)
@@ -185,13 +204,13 @@
     flow.isAnswered = true;
     const auto id = flow.request;
     const auto kind = flow.kind;
-    if (m_kinds[kind].isKeepAlive) {
+    if (m_kinds[kind].isKeepAlive && !packet.summary.isFin) {
         m_idleFlows[kind].push_back(key);
     } else {
         auto end = makePacket(key, flow);
         end.summary.isFin = true;
         m_output(end);
-        m_flows.erase(key);
+        closeFlow(key);
     }
     const auto request = m_requests.find(id);
     if (request == m_requests.end())
@@ -202,14 +221,15 @@
         finishRequest(request->second, true);
 }
 
-void EmulatedCallers::onReset(const FlowKey &key)
+void EmulatedCallers::onReset(const EmulatedPacket &reset)
 {
+    const auto key = reset.summary.flow;
     const auto flow = m_flows.at(key);
     ++m_statistics[flow.kind].resets;
-    if (flow.isOpen && m_isHeld(key))
+    if (flow.isOpen && m_isHeld(reset))
         m_brokenFlows.push_back(key);
     std::erase(m_idleFlows[flow.kind], key);
-    m_flows.erase(key);
+    closeFlow(key);
     const bool isAwaitingAnswer = flow.request != 0 && !flow.isAnswered;
     if (isAwaitingAnswer)
         failAttempt(flow.request, !flow.isOpen);
--- a/Libraries/LibEmulator/EmulatedCallers.h
+++ b/Libraries/LibEmulator/EmulatedCallers.h
@@ -3,6 +3,7 @@
 #include "LibEmulator/EmulatedPacket.h"
 #include "LibEmulator/EventQueue.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -45,8 +46,8 @@
 public:
     /// Called with each packet that a caller sends.
     using Output = std::function<void(const EmulatedPacket &)>;
-    /// Called when an open flow is reset. Returns whether a target still holds the flow.
-    using IsHeld = std::function<bool(const FlowKey &)>;
+    /// Called when an open flow is reset, with the reset. Returns whether a target still holds the flow.
+    using IsHeld = std::function<bool(const EmulatedPacket &)>;
 
     EmulatedCallers(EventQueue &events, std::uint64_t seed, std::vector<RequestKind> kinds, Output output, IsHeld isHeld);
 
@@ -54,6 +55,8 @@
     void start(TimePoint end);
     void receive(const EmulatedPacket &packet);
     /// Sets the factor by which the request rates are multiplied from now on.
+    /// Sets the probability with which a new flow uses the port of a flow that ended a while ago.
+    void setPortReuseRate(double rate) { m_portReuseRate = rate; }
     void setLoadFactor(double factor) { m_loadFactor = factor; }
     [[nodiscard]] std::size_t openFlows() const { return m_flows.size(); }
 
@@ -82,6 +85,11 @@
         bool isAnswered = false;
     };
 
+    struct ClosedFlow {
+        FlowKey key;
+        TimePoint closedAt;
+    };
+
     void scheduleNextRequest(std::size_t kind, TimePoint end);
     void startAttempt(std::uint64_t id);
     void openFlow(std::uint64_t request);
@@ -90,7 +98,9 @@
     void sendAcknowledgement(const FlowKey &key, const Flow &flow);
     void onSynAck(const EmulatedPacket &packet, Flow &flow);
     void onAnswer(const EmulatedPacket &packet, Flow &flow);
-    void onReset(const FlowKey &key);
+    void onReset(const EmulatedPacket &reset);
+    void closeFlow(const FlowKey &key);
+    [[nodiscard]] FlowKey chooseFlowKey(std::size_t kind);
     void failAttempt(std::uint64_t id, bool isSafeToRetry);
     void finishRequest(Request &request, bool isAnswered);
     [[nodiscard]] EmulatedPacket makePacket(const FlowKey &key, const Flow &flow) const;
@@ -101,6 +111,8 @@
     Output m_output;
     IsHeld m_isHeld;
     double m_loadFactor = 1;
+    double m_portReuseRate = 0;
+    std::deque<ClosedFlow> m_closedFlows;
     std::map<std::uint64_t, Request> m_requests;
     std::unordered_map<FlowKey, Flow> m_flows;
     std::vector<std::vector<FlowKey>> m_idleFlows;
--- a/Libraries/LibEmulator/EmulatedEntry.cpp
+++ b/Libraries/LibEmulator/EmulatedEntry.cpp
@@ -2,42 +2,49 @@
 
 #include "LibCoordination/EntrySearch.h"
 
+#include <set>
+
 namespace Papaya::Emulator {
 
 namespace {
 
 constexpr Duration TickInterval {100};
 constexpr Duration SubscriptionInterval {2'000};
+/// A daemon that has just started does not read callers' packets for this long, unless it has routes and targets earlier.
+constexpr Duration InitialReadTimeout {180};
+constexpr Duration PeerQueryTime {10};
 
 } // namespace
 
-EmulatedEntry::EmulatedEntry(EventQueue &events, EmulatedNetwork &network, Endpoint address, std::string name, std::string failureDomain)
+EmulatedEntry::EmulatedEntry(EventQueue &events,
+                             EmulatedNetwork &network,
+                             EmulatedStore &store,
+                             Endpoint address,
+                             std::string name,
+                             std::string failureDomain)
     : m_events(events)
     , m_network(network)
     , m_address(address)
     , m_name(std::move(name))
     , m_failureDomain(std::move(failureDomain))
     , m_process(events, [this] { onIteration(); })
+    , m_store(events, store, m_process, *this, hashOf(m_name))
 {
 }
 
-void EmulatedEntry::start(const ChoiceWeights &weights, const RouteTable &routes, const std::vector<PublishedTarget> &targets)
+void EmulatedEntry::start(const ChoiceWeights &weights)
 {
-    const auto now = m_events.now();
     m_relay = EntryRelay {};
     m_relay.weights = weights;
     m_relay.failureDomain = m_failureDomain;
-    m_relay.startedAt = now;
+    m_relay.startedAt = m_events.now();
     m_isStopping = false;
-    (void)setRoutes(m_relay, routes, now);
-    for (const auto &target : targets)
-        (void)onTargetPublished(m_relay, target, now, *this);
-    markTargetsListed(m_relay, now);
-    m_relay.watchStartedAt = now;
-    markTargetsCurrent(m_relay, now);
-    subscribeToAgents();
+    m_hasQueriedPeers = false;
     m_tickedAt = {};
+    m_subscribedAt = m_events.now();
     m_process.start();
+    m_process.setReadingPackets(false);
+    m_store.start();
 }
 
 void EmulatedEntry::receiveFromCaller(const EmulatedPacket &packet)
@@ -51,22 +58,64 @@
     m_process.arrive(ProcessSocket::Daemon, [this, agent, bytes = std::move(datagram)] { handleDatagram(agent, bytes); });
 }
 
-void EmulatedEntry::publishRoutes(const RouteTable &routes)
+void EmulatedEntry::onRoutes(const RouteTable &routes)
 {
-    m_process.post([this, routes] { (void)setRoutes(m_relay, routes, m_events.now()); });
+    (void)setRoutes(m_relay, routes, m_events.now());
 }
 
-void EmulatedEntry::publishTarget(const PublishedTarget &target)
+void EmulatedEntry::onTargetList(const std::vector<PublishedTarget> &targets, Duration grace)
 {
-    m_process.post([this, target] {
-        (void)onTargetPublished(m_relay, target, m_events.now(), *this);
-        sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}});
-    });
+    std::set<MemberId> present;
+    for (const auto &target : targets) {
+        present.insert(target.id);
+        onTarget(target);
+    }
+    std::vector<MemberId> missing;
+    for (const auto &[id, record] : m_relay.directory.targets) {
+        if (!present.contains(id))
+            missing.push_back(id);
+    }
+    for (const auto id : missing)
+        onWithdrawal(id, grace);
+    markTargetsListed(m_relay, m_events.now());
+    subscribeToAgents();
+}
+
+void EmulatedEntry::onTarget(const PublishedTarget &target)
+{
+    const auto effect = onTargetPublished(m_relay, target, m_events.now(), *this);
+    if (effect == PublicationEffect::Added || effect == PublicationEffect::Replaced)
+        subscribeTo(target);
 }
 
-void EmulatedEntry::withdrawTarget(MemberId target, Duration grace)
+void EmulatedEntry::onWithdrawal(MemberId target, Duration grace)
 {
-    m_process.post([this, target, grace] { (void)applyWithdrawn(m_relay.directory, target, m_events.now() + grace); });
+    (void)applyWithdrawn(m_relay.directory, target, m_events.now() + grace);
+}
+
+void EmulatedEntry::onCurrent(TimePoint asOf)
+{
+    markTargetsCurrent(m_relay, asOf);
+    retryPendingResets(m_relay, m_events.now(), *this);
+}
+
+void EmulatedEntry::queryPeers()
+{
+    const bool isWaiting = m_events.now() - m_relay.startedAt < InitialReadTimeout;
+    if (m_hasQueriedPeers || hasRoutesAndTargets(m_relay) || isWaiting)
+        return;
+    m_hasQueriedPeers = true;
+    m_events.schedule(PeerQueryTime, [this, generation = m_process.generation()] {
+        if (m_process.generation() != generation)
+            return;
+        const auto knowledge = m_network.fetchKnowledge(m_address);
+        if (!knowledge)
+            return;
+        m_process.post([this, knowledge] {
+            if (importKnowledge(m_relay, *knowledge, m_events.now(), *this))
+                subscribeToAgents();
+        });
+    });
 }
 
 void EmulatedEntry::sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope)
@@ -86,6 +135,7 @@
     EmulatedPacket packet;
     packet.summary.flow = flow;
     packet.summary.isReset = true;
+    packet.senderEntry = m_address.address;
     m_network.sendToCallers(packet);
 }
 
@@ -117,7 +167,12 @@
 {
     m_subscribedAt = m_events.now();
     for (const auto &[id, record] : m_relay.directory.targets)
-        sendToAgent(record.published.agent, {record.published.service, EnvelopePurpose::Subscribe, {}});
+        subscribeTo(record.published);
+}
+
+void EmulatedEntry::subscribeTo(const PublishedTarget &target)
+{
+    sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}, 0, target.incarnation});
 }
 
 void EmulatedEntry::onIteration()
@@ -126,10 +181,13 @@
     if (now - m_tickedAt >= TickInterval) {
         m_tickedAt = now;
         onEntryTick(m_relay, now, *this);
+        queryPeers();
         if (now - m_subscribedAt >= SubscriptionInterval)
             subscribeToAgents();
     }
     sendQueries(m_relay, now, *this);
+    if (hasRoutesAndTargets(m_relay) || now - m_relay.startedAt >= InitialReadTimeout)
+        m_process.setReadingPackets(true);
 }
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/EmulatedEntry.h
+++ b/Libraries/LibEmulator/EmulatedEntry.h
@@ -3,27 +3,32 @@
 #include "LibCoordination/EntryRelay.h"
 #include "LibEmulator/EmulatedNetwork.h"
 #include "LibEmulator/EmulatedProcess.h"
+#include "LibEmulator/EmulatedStoreClient.h"
 #include "LibProtocol/RelayCodec.h"
 
 namespace Papaya::Emulator {
 
 /// An emulated entry daemon, which runs the production decisions and codec.
-class EmulatedEntry : private EntryOutput
+class EmulatedEntry : private EntryOutput, private StoreOutput
 {
 public:
-    EmulatedEntry(EventQueue &events, EmulatedNetwork &network, Endpoint address, std::string name, std::string failureDomain);
+    EmulatedEntry(EventQueue &events,
+                  EmulatedNetwork &network,
+                  EmulatedStore &store,
+                  Endpoint address,
+                  std::string name,
+                  std::string failureDomain);
 
-    /// Starts a new process with an empty state and a complete list of routes and targets.
-    void start(const ChoiceWeights &weights, const RouteTable &routes, const std::vector<PublishedTarget> &targets);
+    /// Starts a new process, which reads routes and targets from the store, or from another entry daemon if the store is
+    /// unreachable.
+    void start(const ChoiceWeights &weights);
     /// From now on the daemon reports that it is not ready, and serves on.
     void beginStop() { m_isStopping = true; }
 
     void receiveFromCaller(const EmulatedPacket &packet);
     void receiveFromAgent(const Endpoint &agent, std::vector<std::byte> datagram);
-    /// Deliver what the platform publishes.
-    void publishRoutes(const RouteTable &routes);
-    void publishTarget(const PublishedTarget &target);
-    void withdrawTarget(MemberId target, Duration grace);
+    /// Returns the routes and targets of this daemon, if it has read them.
+    [[nodiscard]] std::optional<RelayKnowledge> knowledge() const { return exportKnowledge(m_relay, m_events.now()); }
 
     [[nodiscard]] EmulatedProcess &process() { return m_process; }
     [[nodiscard]] const Endpoint &address() const { return m_address; }
@@ -36,11 +41,20 @@
     void sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope) override;
     void sendQuery(const Endpoint &agent, const RelayQuery &query) override;
     void resetCaller(const FlowKey &flow, std::uint32_t sequence) override;
-    void refreshTargets() override { }
+    void refreshTargets() override { m_store.requestRefresh(); }
     void recordDecision(const FlowKey &flow, RelayReason reason, const Endpoint &agent) override;
 
+    void onRoutes(const RouteTable &routes) override;
+    void onTargetList(const std::vector<PublishedTarget> &targets, Duration grace) override;
+    void onTarget(const PublishedTarget &target) override;
+    void onWithdrawal(MemberId target, Duration grace) override;
+    void onCurrent(TimePoint asOf) override;
+    void onWatch(std::optional<TimePoint> startedAt) override { m_relay.watchStartedAt = startedAt; }
+
     void handleDatagram(const Endpoint &agent, std::span<const std::byte> datagram);
+    void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
+    void queryPeers();
     void onIteration();
 
     EventQueue &m_events;
@@ -49,9 +63,11 @@
     std::string m_name;
     std::string m_failureDomain;
     EmulatedProcess m_process;
+    EmulatedStoreClient m_store;
     EntryRelay m_relay;
     RelayEncoder m_encoder;
     bool m_isStopping = false;
+    bool m_hasQueriedPeers = false;
     TimePoint m_tickedAt;
     TimePoint m_subscribedAt;
 };
--- a/Libraries/LibEmulator/EmulatedNetwork.h
+++ b/Libraries/LibEmulator/EmulatedNetwork.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "LibCoordination/RelayReason.h"
+#include "LibCoordination/RelayKnowledge.h"
 #include "LibEmulator/EmulatedPacket.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,12 @@
     virtual void recordDecision(const std::string &entry, const FlowKey &flow, RelayReason reason, const Endpoint &agent) = 0;
     /// Records an event of a flow for later analysis.
     virtual void recordEvent(const std::string &process, const FlowKey &flow, const std::string &event) = 0;
-    /// Called with each packet that an agent sends to its target.
+    /// Called with each packet that a target receives; the packet's mark is the entry daemon that sent it.
     virtual void recordTargetPacket(const Endpoint &agent, const PacketSummary &packet) = 0;
+    /// Called when a flow opens at a target.
+    virtual void recordOpened(const Endpoint &agent, const FlowKey &flow) = 0;
+    /// Returns the routes and targets of another entry daemon that is ready, or nothing.
+    virtual std::optional<RelayKnowledge> fetchKnowledge(const Endpoint &entry) = 0;
 };
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/EmulatedPacket.h
+++ b/Libraries/LibEmulator/EmulatedPacket.h
@@ -21,6 +21,8 @@
     std::uint32_t work = 0;
     /// Service of the target that created the packet, or 0 in packets of callers.
     std::uint64_t senderService = 0;
+    /// Address of the entry daemon that created the packet, or 0.
+    std::uint32_t senderEntry = 0;
     /// Whether this packet is an answer by which the target rejected the request without running it (load shedding).
     bool isShed = false;
 };
--- a/Libraries/LibEmulator/EmulatedProcess.cpp
+++ b/Libraries/LibEmulator/EmulatedProcess.cpp
@@ -28,6 +28,7 @@
     stop();
     m_isUp = true;
     m_isFrozen = false;
+    m_isReadingPackets = true;
     m_busyUntil = m_events.now();
     m_nextIterationAt = TimePoint::max();
     requestIteration(Duration(0));
@@ -59,6 +60,12 @@
     m_batchSize = batchSize;
 }
 
+void EmulatedProcess::setReadingPackets(bool isReading)
+{
+    if (std::exchange(m_isReadingPackets, isReading) != isReading)
+        requestIteration(Duration(0));
+}
+
 void EmulatedProcess::arrive(ProcessSocket socket, Action handling)
 {
     if (!m_isUp)
@@ -110,6 +117,10 @@
 void EmulatedProcess::readBatches()
 {
     for (const auto index : std::exchange(m_readableSockets, {})) {
+        if (!m_isReadingPackets && index == static_cast<std::size_t>(ProcessSocket::Packets)) {
+            m_readableSockets.push_back(index);
+            continue;
+        }
         auto &queue = m_sockets[index];
         const auto count = std::min(queue.size(), m_batchSize);
         for (std::size_t read = 0; read < count && !queue.empty(); ++read) {
--- a/Libraries/LibEmulator/EmulatedProcess.h
+++ b/Libraries/LibEmulator/EmulatedProcess.h
@@ -38,6 +38,9 @@
     /// Sets the time that one iteration of the event loop takes, and how many datagrams it reads from each socket.
     void setPace(Duration iterationTime, std::size_t batchSize);
 
+    /// While false, the process does not read the packets that arrive; they wait in the socket.
+    void setReadingPackets(bool isReading);
+
     /// Adds a datagram to a socket, unless the process is down or the socket is full.
     void arrive(ProcessSocket socket, Action handling);
     /// Adds a message to the mailbox, which has no limit.
@@ -66,6 +69,7 @@
     std::deque<Action> m_mailbox;
     bool m_isUp = false;
     bool m_isFrozen = false;
+    bool m_isReadingPackets = true;
     Duration m_iterationTime {0};
     std::size_t m_batchSize;
     std::uint64_t m_generation = 0;
--- /dev/null
+++ b/Libraries/LibEmulator/EmulatedStore.cpp
@@ -0,0 +1,87 @@
+#include "LibEmulator/EmulatedStore.h"
+
+#include <algorithm>
+
+namespace Papaya::Emulator {
+
+void EmulatedStore::put(PublishedTarget target)
+{
+    const auto revision = ++m_state.revision;
+    const auto existing = m_state.entries.find(target.id);
+    const bool isListed = existing != m_state.entries.end() && !existing->second.isDeleted;
+    target.listingRevision = isListed ? existing->second.target.listingRevision : revision;
+    m_state.entries[target.id] = {target, revision, false};
+    recordChange();
+}
+
+void EmulatedStore::remove(MemberId target)
+{
+    if (!lists(target))
+        return;
+    auto &entry = m_state.entries[target];
+    entry.revision = ++m_state.revision;
+    entry.isDeleted = true;
+    recordChange();
+}
+
+void EmulatedStore::setRoutes(RouteTable routes)
+{
+    routes.changeRevision = ++m_state.revision;
+    m_state.routes = std::move(routes);
+    recordChange();
+}
+
+void EmulatedStore::setReachable(bool isReachable)
+{
+    m_isReachable = isReachable;
+    for (const auto &listener : m_listeners)
+        listener();
+}
+
+void EmulatedStore::restore(Duration age)
+{
+    const auto at = m_events.now() - age;
+    const auto newer = std::find_if(m_history.begin(), m_history.end(), [&](const State &state) { return state.at > at; });
+    if (newer != m_history.begin() && newer != m_history.end())
+        m_state = *std::prev(newer);
+    ++m_epoch;
+    recordChange();
+}
+
+bool EmulatedStore::lists(MemberId target) const
+{
+    const auto entry = m_state.entries.find(target);
+    return entry != m_state.entries.end() && !entry->second.isDeleted;
+}
+
+std::vector<PublishedTarget> EmulatedStore::targets() const
+{
+    std::vector<PublishedTarget> targets;
+    for (const auto &[id, entry] : m_state.entries) {
+        if (!entry.isDeleted)
+            targets.push_back(entry.target);
+    }
+    return targets;
+}
+
+std::vector<StoreEntry> EmulatedStore::changesAfter(std::uint64_t revision) const
+{
+    std::vector<StoreEntry> changes;
+    for (const auto &[id, entry] : m_state.entries) {
+        if (entry.revision > revision)
+            changes.push_back(entry);
+    }
+    std::sort(
+        changes.begin(), changes.end(), [](const StoreEntry &left, const StoreEntry &right) { return left.revision < right.revision; });
+    return changes;
+}
+
+void EmulatedStore::recordChange()
+{
+    m_state.at = m_events.now();
+    m_history.push_back(m_state);
+    for (const auto &listener : m_listeners)
+        listener();
+}
+
+} // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/EmulatedTarget.cpp
+++ b/Libraries/LibEmulator/EmulatedTarget.cpp
@@ -21,6 +21,7 @@
     , m_options(std::move(options))
     , m_output(std::move(output))
     , m_onRequestStart(std::move(onRequestStart))
+    , m_incarnation(static_cast<Incarnation>(events.now().time_since_epoch().count()))
 {
 }
 
@@ -62,8 +63,11 @@
         return;
     }
     auto [flow, isNew] = m_flows.try_emplace(key);
-    if (isNew)
+    if (isNew || flow->second.callerSequence != packet.summary.sequence) {
+        flow->second = {};
         flow->second.sequence = static_cast<std::uint32_t>(m_random());
+        flow->second.callerSequence = packet.summary.sequence;
+    }
     EmulatedPacket reply;
     reply.summary.flow = key;
     reply.summary.isSyn = true;
@@ -105,13 +109,13 @@
         ++m_startedRequests;
         m_onRequestStart(run.request, run.flow);
         const auto duration = Duration(static_cast<Duration::rep>(run.work / m_options.speed));
-        m_events.schedule(duration, [this, run, incarnation = m_incarnation] { finishRequest(run, incarnation); });
+        m_events.schedule(duration, [this, run, targetRun = m_run] { finishRequest(run, targetRun); });
     }
 }
 
-void EmulatedTarget::finishRequest(const Run &run, Incarnation incarnation)
+void EmulatedTarget::finishRequest(const Run &run, std::uint64_t targetRun)
 {
-    if (incarnation != m_incarnation)
+    if (targetRun != m_run)
         return;
     --m_runningRequests;
     answer(run, false);
@@ -130,20 +134,21 @@
     packet.request = run.request;
     packet.senderService = m_options.service;
     packet.isShed = isShed;
+    packet.summary.isFin = m_isDraining;
     flow->second.answer = packet;
-    retransmitAnswer(run.flow, run.request, 0, m_incarnation);
+    retransmitAnswer(run.flow, run.request, 0, m_run);
 }
 
-void EmulatedTarget::retransmitAnswer(const FlowKey &key, std::uint64_t request, int attempt, Incarnation incarnation)
+void EmulatedTarget::retransmitAnswer(const FlowKey &key, std::uint64_t request, int attempt, std::uint64_t targetRun)
 {
     const auto flow = m_flows.find(key);
-    const bool isOver = incarnation != m_incarnation || flow == m_flows.end() || flow->second.request != request
+    const bool isOver = targetRun != m_run || flow == m_flows.end() || flow->second.request != request
                         || flow->second.isAnswerAcknowledged || attempt > MaximumRetransmissions;
     if (isOver)
         return;
     send(*flow->second.answer);
     const auto timeout = std::min<Duration>(InitialRetransmissionTimeout * (1 << std::min(attempt, 4)), MaximumRetransmissionTimeout);
-    m_events.schedule(timeout, [this, key, request, attempt, incarnation] { retransmitAnswer(key, request, attempt + 1, incarnation); });
+    m_events.schedule(timeout, [this, key, request, attempt, targetRun] { retransmitAnswer(key, request, attempt + 1, targetRun); });
 }
 
 void EmulatedTarget::send(EmulatedPacket packet)
@@ -164,7 +169,7 @@
     m_flows.clear();
     m_queue.clear();
     m_runningRequests = 0;
-    ++m_incarnation;
+    ++m_run;
 }
 
 void EmulatedTarget::restart()
@@ -172,6 +177,7 @@
     crash();
     m_isUp = true;
     m_isDraining = false;
+    m_incarnation = static_cast<Incarnation>(m_events.now().time_since_epoch().count());
 }
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/EmulatedTarget.h
+++ b/Libraries/LibEmulator/EmulatedTarget.h
@@ -44,7 +44,7 @@
     void crash();
     /// Restarts the target as a new incarnation without flows.
     void restart();
-    /// Marks the target as draining; it still serves its flows.
+    /// Marks the target as draining. It still accepts and serves flows, and closes each one after its next answer.
     void setDraining() { m_isDraining = true; }
     void setSpeed(double speed) { m_options.speed = speed; }
     /// While silent, the target drops all packets that it receives.
@@ -53,6 +53,7 @@
     [[nodiscard]] const TargetOptions &options() const { return m_options; }
     [[nodiscard]] bool isUp() const { return m_isUp; }
     [[nodiscard]] bool isDraining() const { return m_isDraining; }
+    /// The time of the target's start.
     [[nodiscard]] Incarnation incarnation() const { return m_incarnation; }
     /// Returns whether the target is up and the flow is open.
     [[nodiscard]] bool holds(const FlowKey &flow) const;
@@ -64,6 +65,8 @@
 private:
     struct Flow {
         std::uint32_t sequence = 0;
+        /// The sequence number of the caller's SYN.
+        std::uint32_t callerSequence = 0;
         bool isOpen = false;
         std::uint64_t request = 0;
         std::optional<EmulatedPacket> answer;
@@ -80,9 +83,9 @@
     void receiveSyn(const EmulatedPacket &packet);
     void receiveData(const EmulatedPacket &packet, Flow &flow);
     void startQueuedRequests();
-    void finishRequest(const Run &run, Incarnation incarnation);
+    void finishRequest(const Run &run, std::uint64_t targetRun);
     void answer(const Run &run, bool isShed);
-    void retransmitAnswer(const FlowKey &key, std::uint64_t request, int attempt, Incarnation incarnation);
+    void retransmitAnswer(const FlowKey &key, std::uint64_t request, int attempt, std::uint64_t targetRun);
 
     EventQueue &m_events;
     std::mt19937_64 m_random;
@@ -92,7 +95,9 @@
     std::unordered_map<FlowKey, Flow> m_flows;
     std::deque<Run> m_queue;
     std::uint32_t m_runningRequests = 0;
-    Incarnation m_incarnation = 1;
+    Incarnation m_incarnation = 0;
+    /// Incremented when the target starts or stops, so that actions of an earlier run are dropped.
+    std::uint64_t m_run = 0;
     bool m_isUp = true;
     bool m_isDraining = false;
     bool m_isSilent = false;
--- a/Libraries/LibEmulator/RelaySimulation.h
+++ b/Libraries/LibEmulator/RelaySimulation.h
@@ -5,6 +5,7 @@
 #include "LibEmulator/EmulatedEntry.h"
 #include "LibEmulator/EmulatedFabric.h"
 #include "LibEmulator/FlowJournal.h"
+#include "LibEmulator/FlowRuleMonitor.h"
 
 #include <array>
 #include <memory>
@@ -23,8 +24,6 @@
     Duration callerDelay {1};
     /// Probability with which a datagram is lost, from 0 to 1.
     double lossRate = 0;
-    /// Time until an entry daemon receives a target or a route table that the platform publishes.
-    Duration publicationDelay {5};
 };
 
 /// Properties of a simulated system of callers, entry daemons, agents and targets.
@@ -64,33 +63,57 @@
     /// Makes the callers generate requests for a duration from now on.
     void startCallers(Duration duration);
 
-    /// Kills an entry daemon, which loses its state. The fabric takes the daemon out of rotation within a second.
+    /// Kills an entry daemon, which loses its state. The fabric takes the daemon out of rotation within a second. This is an
+    /// unplanned disruption until startEntry().
     void killEntry(std::size_t index);
     void startEntry(std::size_t index);
-    /// Restarts an entry daemon gracefully. The fabric takes the daemon out of rotation within a second after the call. The daemon
+    /// Restarts an entry daemon as planned. The fabric takes the daemon out of rotation within a second after the call. The daemon
     /// stops about two seconds after the call and then starts again.
     void restartEntryGracefully(std::size_t index);
     /// Suspends an entry daemon, as when its VM is paused. Packets and datagrams wait in its sockets until thawEntry().
     void freezeEntry(std::size_t index);
     void thawEntry(std::size_t index);
-    /// Kills an agent, which loses its state. Its target keeps running.
+    /// Sets how long one iteration of a daemon's event loop takes, and how many datagrams it reads from each socket.
+    void setEntryPace(std::size_t index, Duration iterationTime, std::size_t batchSize);
+    void setAgentPace(std::size_t index, Duration iterationTime, std::size_t batchSize);
+    /// Kills an agent, which loses its state. Its target keeps running. This is an unplanned disruption until startAgent().
     void killAgent(std::size_t index);
     void startAgent(std::size_t index);
+    /// Restarts an agent as planned; the next process starts after `downTime`. Its target keeps running.
+    void restartAgentGracefully(std::size_t index, Duration downTime);
+    /// Crashes a target. The store drops its entry some time later.
     void crashTarget(std::size_t index);
+    /// Starts a new run of a target.
     void restartTarget(std::size_t index);
     /// Marks a target as draining and publishes that state.
     void drainTarget(std::size_t index);
+    /// Ends a target and its agent as planned.
+    void endTarget(std::size_t index);
+    /// Starts another target at the address of one that has ended, and its agent.
+    void replaceTarget(std::size_t index, const TargetOptions &options);
     /// Adds a target with an agent on a VM of its own. Returns the target's index.
     std::size_t addTarget(const TargetOptions &options);
-    /// Removes a target from the platform's list. Entry daemons treat it as withdrawn after `grace`.
-    void withdrawTarget(std::size_t index, Duration grace = Duration(0));
+    /// Removes the entry of a target that serves on from the store, and writes it again after `absence`.
+    void withdrawTemporarily(std::size_t index, Duration absence);
+    void setStoreReachable(bool isReachable) { m_store.setReachable(isReachable); }
+    /// Restores the store from its contents of a while ago. The targets that serve write their entries again within two seconds,
+    /// and the entries of others expire some seconds later.
+    void restoreStore(Duration age);
+    /// Sets the probability with which a datagram is lost from now on.
+    void setLossRate(double rate) { m_options.network.lossRate = rate; }
     void publishRoutes(std::vector<Route> routes);
 
     [[nodiscard]] const EmulatedCallers &callers() const { return *m_callers; }
     [[nodiscard]] EmulatedCallers &callers() { return *m_callers; }
     [[nodiscard]] EmulatedTarget &target(std::size_t index);
     [[nodiscard]] std::size_t targetCount() const { return m_agents.size(); }
-    /// Returns the recorded events of the flows that were reset although a target held them.
+    [[nodiscard]] std::size_t entryCount() const { return m_entries.size(); }
+    /// Returns the check of the rule on open flows, including the packets so far.
+    [[nodiscard]] const FlowRuleMonitor &checkFlowRule();
+    /// Records an event that concerns all flows, for brokenFlowEvents().
+    void recordEventForAll(const std::string &process, const std::string &event);
+    /// Returns the recorded events of some of the flows that were reset although a target held them, or whose packets reached
+    /// other targets.
     [[nodiscard]] std::string brokenFlowEvents() const;
     /// Number of request starts at targets of a service that no route for the request's address ever contained.
     [[nodiscard]] std::uint64_t misroutedRequests() const { return m_misroutedRequests; }
@@ -100,38 +123,40 @@
     [[nodiscard]] std::uint64_t decisionCount(RelayReason reason) const { return m_decisions[static_cast<std::size_t>(reason)]; }
 
 private:
-    struct VmNode {
-        std::unique_ptr<EmulatedAgent> agent;
-        /// Store revision at which the target was listed; 0 while the target is withdrawn.
-        std::uint64_t listingRevision = 0;
-    };
-
     void sendToAgent(const Endpoint &entry, const Endpoint &agent, std::vector<std::byte> datagram) override;
     void sendToEntry(const Endpoint &agent, const Endpoint &entry, std::vector<std::byte> datagram) override;
     void sendToCallers(const EmulatedPacket &packet) override;
     void recordDecision(const std::string &entry, const FlowKey &flow, RelayReason reason, const Endpoint &agent) override;
     void recordEvent(const std::string &process, const FlowKey &flow, const std::string &event) override;
     void recordTargetPacket(const Endpoint &agent, const PacketSummary &packet) override;
+    void recordOpened(const Endpoint &agent, const FlowKey &flow) override;
+    std::optional<RelayKnowledge> fetchKnowledge(const Endpoint &entry) override;
 
     void transmit(Duration delay, EventQueue::Action delivery);
+    [[nodiscard]] std::unique_ptr<EmulatedTarget> makeTarget(std::size_t index, const TargetOptions &options);
     void publishTarget(std::size_t index);
+    void expireEntry(MemberId id, Duration delay);
+    [[nodiscard]] Duration randomDuration(Duration minimum, Duration maximum);
+    bool onCallerReset(const EmulatedPacket &reset);
+    [[nodiscard]] std::uint32_t addressOfEntry(std::size_t index) const { return m_entries.at(index)->address().address; }
+    [[nodiscard]] std::uint32_t addressOfAgent(std::size_t index) const { return m_agents.at(index)->address().address; }
     [[nodiscard]] PublishedTarget publicationOf(std::size_t index) const;
     void recordRequestStart(std::uint64_t request, const FlowKey &flow, ServiceId service);
-    [[nodiscard]] bool isHeldByTarget(const FlowKey &flow) const;
     [[nodiscard]] bool wasEverRouted(const Endpoint &address, ServiceId service) const;
     [[nodiscard]] Duration delayBetween(const std::string &left, const std::string &right) const;
-    [[nodiscard]] std::string nameOfAgent(const Endpoint &agent) const;
+    [[nodiscard]] EmulatedAgent *findAgent(std::uint32_t address) const;
 
     EventQueue m_events;
     std::mt19937_64 m_random;
     SimulationOptions m_options;
+    EmulatedStore m_store {m_events};
     EmulatedFabric m_fabric {m_events};
     std::vector<std::unique_ptr<EmulatedEntry>> m_entries;
-    std::vector<VmNode> m_agents;
+    std::vector<std::unique_ptr<EmulatedAgent>> m_agents;
     std::unique_ptr<EmulatedCallers> m_callers;
     FlowJournal m_journal;
+    FlowRuleMonitor m_flowRule;
     RouteTable m_routes;
-    std::uint64_t m_revision = 1;
     std::vector<std::pair<Endpoint, ServiceId>> m_routedServices;
     std::unordered_map<std::uint64_t, int> m_startsByRequest;
     std::uint64_t m_misroutedRequests = 0;
--- a/Tests/LibEmulator/TestRelaySimulation.cpp
+++ b/Tests/LibEmulator/TestRelaySimulation.cpp
@@ -9,13 +9,14 @@
 constexpr Endpoint LedgerAddress {0xc6120001, 443};
 constexpr Endpoint CatalogueAddress {0xc6120002, 443};
 constexpr std::array<double, 4> UnequalSpeeds {0.55, 1.2, 1.2, 1.2};
+constexpr std::size_t LedgerTargets = 7;
 constexpr std::uint64_t SeedCount = 10;
 
 SimulationOptions makeOptions(std::uint64_t seed)
 {
     SimulationOptions options;
     options.seed = seed;
-    options.targets = makeTargets("ledger", 7, UnequalSpeeds);
+    options.targets = makeTargets("ledger", LedgerTargets, UnequalSpeeds);
     const auto catalogue = makeTargets("catalogue", 3, {});
     options.targets.insert(options.targets.end(), catalogue.begin(), catalogue.end());
     options.routes = {makeRoute(LedgerAddress, "ledger"), makeRoute(CatalogueAddress, "catalogue")};
@@ -27,11 +28,12 @@
 }
 
 /// Checks the invariants of every scenario: no request runs at a wrong service, no request that is not idempotent runs twice, and
-/// no flow is reset while a target holds it.
-void expectInvariants(const RelaySimulation &simulation)
+/// no flow is reset or goes to other targets while its target holds it.
+void expectInvariants(RelaySimulation &simulation)
 {
     EXPECT_EQ(simulation.misroutedRequests(), 0U);
     EXPECT_EQ(simulation.duplicateRequests(), 0U);
+    EXPECT_EQ(simulation.checkFlowRule().misdirectedFlows().size(), 0U) << simulation.brokenFlowEvents();
     EXPECT_EQ(simulation.callers().brokenFlows(), 0U) << simulation.brokenFlowEvents();
 }
 
@@ -107,8 +109,15 @@
 {
     RelaySimulation simulation(makeOptions(GetParam()));
     simulation.startCallers(Duration(20'000));
-    simulation.schedule(Duration(8'000), [&] { simulation.crashTarget(2); });
-    simulation.schedule(Duration(12'000), [&] { simulation.restartTarget(2); });
+    std::size_t crashed = 0;
+    simulation.schedule(Duration(8'000), [&] {
+        for (std::size_t index = 1; index < LedgerTargets; ++index) {
+            if (simulation.target(index).openFlows() > simulation.target(crashed).openFlows())
+                crashed = index;
+        }
+        simulation.crashTarget(crashed);
+    });
+    simulation.schedule(Duration(12'000), [&] { simulation.restartTarget(crashed); });
     simulation.run(Duration(24'000));
     expectInvariants(simulation);
     EXPECT_GT(simulation.decisionCount(RelayReason::TargetGone), 0U);
