RelayAgent: Take a target's port for closed only if it refuses

Callers could see all open flows of a target reset with reason target_gone while it served: an agent that checked its target's port took each failure of the connection for a closed port, also when it had no free descriptor, cleared its flow table, and reported the target as closed to all entry daemons. Change: isTcpPortClosed() returns true only for a refused connection.

--- a/Libraries/LibTransport/StreamSocket.cpp
+++ b/Libraries/LibTransport/StreamSocket.cpp
@@ -85,15 +85,22 @@
     return errno == ENOTCONN ? ConnectProgress::Pending : ConnectProgress::Failed;
 }
 
-ConnectProgress probeTcpPort(const Endpoint &endpoint, Duration limit)
+bool isTcpPortClosed(const Endpoint &endpoint, Duration limit)
 {
-    const auto stream = connectStream(endpoint);
-    if (stream.has_error())
-        return ConnectProgress::Failed;
-    pollfd pollEntry {stream.value().get(), POLLOUT, 0};
+    const auto stream = openStream();
+    if (!stream.isOpen())
+        return false;
+    const auto address = toSocketAddress(endpoint);
+    if (::connect(stream.get(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0)
+        return false;
+    if (errno != EINPROGRESS)
+        return errno == ECONNREFUSED;
+    pollfd pollEntry {stream.get(), POLLOUT, 0};
     if (::poll(&pollEntry, 1, static_cast<int>(limit.count())) <= 0)
-        return ConnectProgress::Pending;
-    return connectProgress(stream.value());
+        return false;
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return ::getsockopt(stream.get(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == ECONNREFUSED;
 }
 
 StreamTransfer readStream(const FileDescriptor &stream, std::span<std::byte> buffer)
--- a/Libraries/LibTransport/StreamSocket.h
+++ b/Libraries/LibTransport/StreamSocket.h
@@ -48,9 +48,9 @@
 /// Returns the state of a connection attempt.
 [[nodiscard]] ConnectProgress connectProgress(const FileDescriptor &stream);
 
-/// Connects and closes the connection, to find out whether a process listens on `endpoint`. Blocks at most for `limit`. Returns Pending
-/// if the attempt has not completed by then.
-[[nodiscard]] ConnectProgress probeTcpPort(const Endpoint &endpoint, Duration limit);
+/// Connects and closes the connection, to find out whether a process listens on `endpoint`. Blocks at most for `limit`. Returns true
+/// only if the connection was refused: an attempt that fails otherwise, or has not completed by then, says nothing about the port.
+[[nodiscard]] bool isTcpPortClosed(const Endpoint &endpoint, Duration limit);
 
 /// Reads the available bytes, up to the size of the buffer.
 [[nodiscard]] StreamTransfer readStream(const FileDescriptor &stream, std::span<std::byte> buffer);
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -103,7 +103,7 @@
 void RelayAgentTask::checkTarget(std::string_view cause)
 {
     m_targetCheckedAt = currentTime();
-    const bool isClosed = probeTcpPort(m_settings.target, TargetCheckTimeout) == ConnectProgress::Failed;
+    const bool isClosed = isTcpPortClosed(m_settings.target, TargetCheckTimeout);
     if (isClosed)
         onPortClosed(m_relay, currentTime(), *this);
     EventLog("target_checked").with("cause", cause).with("outcome", isClosed ? "closed" : "open");
