relay entry: Log the state of the agent that a reset was decided by

The log line could not tell the hypotheses apart: a reset that ended a search named no agent, and no line said how long a request was unanswered, whether the target was withdrawn, or how old the agent's last message was. Change: a search that ends at unreachable agents names the first of them. No decision changes. Evidence: EntrySearchTest.ResetOfSearchNamesUnreachableAgent failed without the change: TestEntrySearch.cpp:228: m_output.lastDecidedAgent is 00-00 00-00 00-00 00-00, expected agentOf(2).

--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -112,10 +112,14 @@
 /// Ends a search whose agents were all asked, unless one of them may still answer.
 void finishSearch(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    if (flow.candidates.empty())
+    if (flow.candidates.empty()) {
         resetDeniedFlow(entry, key, flow, now, output);
-    else if (areAllCandidatesUnreachable(entry, key, flow, now))
-        resetFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+        return;
+    }
+    if (!areAllCandidatesUnreachable(entry, key, flow, now))
+        return;
+    flow.agent = flow.candidates.front().agent;
+    resetFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
 }
 
 /// Returns the agents of the plan that were not asked yet.
--- a/Libraries/LibState/RelayMessages.cpp
+++ b/Libraries/LibState/RelayMessages.cpp
@@ -23,4 +23,17 @@
     return "unknown";
 }
 
+std::string_view targetStateName(TargetState state)
+{
+    switch (state) {
+    case TargetState::Answering:
+        return "answering";
+    case TargetState::Silent:
+        return "silent";
+    case TargetState::Closed:
+        return "closed";
+    }
+    return "unknown";
+}
+
 } // namespace Papaya
--- a/Libraries/LibState/RelayMessages.h
+++ b/Libraries/LibState/RelayMessages.h
@@ -125,4 +125,7 @@
 /// Returns the stable name of a notice for logs.
 [[nodiscard]] std::string_view noticeKindName(NoticeKind kind);
 
+/// Returns the stable name of a target's state for logs.
+[[nodiscard]] std::string_view targetStateName(TargetState state);
+
 } // namespace Papaya
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -22,19 +22,6 @@
 /// Minimum time between two connection attempts to a target that does not answer packets.
 constexpr Duration TargetCheckInterval {1'000};
 
-std::string_view targetStateName(TargetState state)
-{
-    switch (state) {
-    case TargetState::Answering:
-        return "answering";
-    case TargetState::Silent:
-        return "silent";
-    case TargetState::Closed:
-        return "closed";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 RelayAgentTask::RelayAgentTask(caf::actor_config &config,
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 
 #include <set>
+#include <string>
+#include <utility>
 
 namespace Papaya {
 
@@ -42,6 +44,30 @@
            || reason == RelayReason::SearchFound || reason == RelayReason::SearchStarted;
 }
 
+/// Returns whether a reset for this reason rests on what the daemon knows of an agent.
+bool isDecidedByAgentState(RelayReason reason)
+{
+    return reason == RelayReason::AgentUnreachable || reason == RelayReason::TargetGone;
+}
+
+/// Writes a time in the past as its age. Nothing is written without a time.
+void writeAge(EventLog &line, std::string_view key, const std::optional<TimePoint> &time, TimePoint now)
+{
+    if (time)
+        line.with(key, std::to_string((now - *time).count()));
+}
+
+/// Writes what a reset was decided by: how long the agent has been silent, and what is known of its target.
+void writeAgentState(EventLog &line, const TargetRecord &record, TimePoint now)
+{
+    writeAge(line, "unanswered_ms", record.unansweredSince, now);
+    writeAge(line, "message_ms", record.lastMessageAt, now);
+    writeAge(line, "withdrawn_ms", record.withdrawnAt, now);
+    line.with("target", record.published.name)
+        .with("target_state", targetStateName(record.load.state))
+        .with("draining", record.published.isDraining ? "true" : "false");
+}
+
 } // namespace
 
 RelayEntryTask::RelayEntryTask(caf::actor_config &config,
@@ -221,6 +247,9 @@
     const auto found = m_relay.flows.find(flow);
     if (found != m_relay.flows.end() && (reason == RelayReason::HeldByNobody || reason == RelayReason::SearchFound))
         line.with("search_ms", static_cast<std::uint64_t>((currentTime() - found->second.searchStartedAt).count()));
+    const auto *record = findByAgent(std::as_const(m_relay.directory), agent);
+    if (record != nullptr && isDecidedByAgentState(reason))
+        writeAgentState(line, *record, currentTime());
 }
 
 void RelayEntryTask::applyRoutes(const RoutesReceived &received)
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -58,7 +58,11 @@
     }
     void resetCaller(const FlowKey &, std::uint32_t sequence) override { resets.push_back(sequence); }
     void refreshTargets() override { ++refreshes; }
-    void recordDecision(const FlowKey &, RelayReason reason, const Endpoint &) override { reasons.push_back(reason); }
+    void recordDecision(const FlowKey &, RelayReason reason, const Endpoint &agent) override
+    {
+        reasons.push_back(reason);
+        lastDecidedAgent = agent;
+    }
 
     [[nodiscard]] bool hasRecorded(RelayReason reason) const { return std::find(reasons.begin(), reasons.end(), reason) != reasons.end(); }
 
@@ -66,6 +70,8 @@
     std::vector<std::pair<Endpoint, RelayQuery>> queries;
     std::vector<std::uint32_t> resets;
     std::vector<RelayReason> reasons;
+    /// The agent that the last decision named.
+    Endpoint lastDecidedAgent;
     int refreshes = 0;
 };
 
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -215,6 +215,19 @@
     EXPECT_EQ(m_output.resets.back(), 777U);
 }
 
+// Failure: the log line of the reset does not name the agent that did not answer.
+TEST_F(EntrySearchTest, ResetOfSearchNamesUnreachableAgent)
+{
+    m_entry.routes.routes[ServiceAddress].isIdempotent = true;
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeData(501), 2'000);
+    notify(1, NoticeKind::Denied, 2'002);
+    tickUntil(2'100, 5'000);
+    ASSERT_TRUE(m_output.hasRecorded(RelayReason::AgentUnreachable));
+    EXPECT_EQ(m_output.lastDecidedAgent, agentOf(2));
+}
+
 TEST_F(EntrySearchTest, NonIdempotentFlowIsNotResetWhenAgentIsUnreachable)
 {
     publish(makeTarget(1));
