relay entry: Judge timeouts of agents by the messages that were read

What callers saw: open flows were reset with reason agent_unreachable while their targets served. Cause: the age of an unanswered request was compared with the present time, although the answer may wait unread in the daemon's socket. A daemon short of processor time handled callers' packets before its agents' datagrams, and stalls below 0.35 s, or long work without a stall, restarted no timeout. Change: the timeouts are judged only up to the time up to which the agents' datagrams were read completely. The task reads these before callers' packets, until none is left, and again after a full batch of packets. The emulator, whose daemons read at once, says so in one line. Evidence: EntrySearchTest.TimeoutExcludesAnswersThatAreNotReadYet failed before: TestEntrySearch.cpp:299: m_output.resets.empty() is false, expected true. It drives a daemon that ticks every 0.1 s for 4 s without reading. The fixture's tickUntil() reads before each tick; all former tests with it keep their bounds.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -351,6 +351,11 @@
     entry.lastActiveAt = now;
 }
 
+void markAgentMessagesRead(EntryRelay &entry, TimePoint until)
+{
+    entry.directory.messagesReadUntil = std::max(entry.directory.messagesReadUntil, until);
+}
+
 bool hasRoutesAndTargets(const EntryRelay &entry)
 {
     return entry.routes.version > 0 && entry.hasTargetList;
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -174,6 +174,10 @@
 /// agent's denial of every flow that is being searched for.
 void onReport(EntryRelay &entry, const Endpoint &agent, const RelayReport &report, TimePoint now, EntryOutput &output);
 
+/// Records that every message of an agent that reached this daemon's socket before a time has been processed. Timeouts of agents
+/// are judged up to this time only: a later answer may be waiting in the socket.
+void markAgentMessagesRead(EntryRelay &entry, TimePoint until);
+
 /// Processes an agent's answer to a query.
 void onAnswer(EntryRelay &entry, const Endpoint &agent, const RelayAnswer &answer, TimePoint now, EntryOutput &output);
 
--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -154,7 +154,7 @@
 {
     const bool isWithdrawn = record.withdrawnAt && *record.withdrawnAt <= now;
     const auto limit = isWithdrawn ? directory.limits.withdrawnAnswerTimeout : directory.limits.answerTimeout;
-    return record.unansweredSince && now - *record.unansweredSince >= limit;
+    return record.unansweredSince && directory.messagesReadUntil - *record.unansweredSince >= limit;
 }
 
 void markSuspect(TargetDirectory &directory, const Endpoint &agent, TimePoint now)
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -82,6 +82,8 @@
     std::unordered_map<MemberId, TargetRecord> targets;
     /// The target at each agent's address: the one that was published last.
     std::unordered_map<Endpoint, MemberId> targetOfAgent;
+    /// All messages of agents that arrived before this time have been applied to the records.
+    TimePoint messagesReadUntil;
 };
 
 /// What a publication changed, as far as flows depend on it.
@@ -122,7 +124,7 @@
 /// the answers.
 void restartAnswerTimeouts(TargetDirectory &directory, TimePoint now);
 
-/// Returns whether an agent has exceeded its answer timeout.
+/// Returns whether an agent has exceeded its answer timeout, as far as the messages of agents have been read.
 [[nodiscard]] bool isUnreachable(const TargetDirectory &directory, const TargetRecord &record, TimePoint now);
 
 /// Records that a target left a new flow unanswered, and suspects it for a time that doubles on each further call.
--- a/Libraries/LibEmulator/RelaySimulation.cpp
+++ b/Libraries/LibEmulator/RelaySimulation.cpp
@@ -445,6 +445,7 @@
     auto &entry = *m_entries.at(index);
     if (!entry.isUp || entry.generation != generation)
         return;
+    markAgentMessagesRead(entry.relay, m_events.now());
     onEntryTick(entry.relay, m_events.now(), entry);
     if (m_events.now() - entry.subscribedAt >= SubscriptionInterval) {
         entry.subscribedAt = m_events.now();
--- a/Libraries/LibTransport/DatagramSocket.cpp
+++ b/Libraries/LibTransport/DatagramSocket.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::size_t BatchSize = 64;
 constexpr int SocketBufferSize = 4 * 1024 * 1024;
 
 } // namespace
--- a/Libraries/LibTransport/DatagramSocket.h
+++ b/Libraries/LibTransport/DatagramSocket.h
@@ -15,6 +15,9 @@
 class DatagramSocket
 {
 public:
+    /// Maximum number of datagrams that are received or sent in one system call.
+    static constexpr std::size_t BatchSize = 64;
+
     /// Called for each datagram with its payload and its sender.
     using Handler = std::function<void(std::span<const std::byte>, const Endpoint &)>;
 
@@ -22,7 +25,7 @@
     [[nodiscard]] static Result<DatagramSocket> bind(const Endpoint &endpoint);
 
     /// Receives one batch of datagrams without blocking. Drops datagrams larger than DatagramSizeLimit. Returns the number of datagrams
-    /// received, including the dropped ones.
+    /// received, including the dropped ones. Fewer than BatchSize mean that no further datagram was waiting.
     std::size_t receive(const Handler &handler);
 
     /// Sends one datagram without blocking. The datagram is dropped if the socket buffer is full, as it may also be dropped by the
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t CallersToken = 1;
 constexpr std::uint64_t DaemonToken = 2;
 constexpr Duration PollTimeout {20};
+/// Limit on the batches of agents' datagrams that are read before callers' packets.
+constexpr std::size_t AgentBatchesPerRound = 16;
 /// A daemon that has just started waits this long for routes and targets from the platform before it reads callers' packets,
 /// which are buffered in the socket meanwhile. The time is below 200 ms, after which callers retransmit a SYN. If the platform
 /// has not answered by then, it is slow or unreachable, and other entry daemons are queried.
@@ -92,13 +94,16 @@
     m_relay.startedAt = currentTime();
     m_poll.addReader(m_daemonSocket.descriptor(), DaemonToken);
     while (!m_isStopped) {
-        m_poll.wait(PollTimeout, [&](std::uint64_t token) {
-            if (token == CallersToken)
-                m_callerSocket.receive([&](std::span<const std::byte> packet, const Endpoint &) { handleCallerPacket(packet); });
-            else
-                m_daemonSocket.receive(
-                    [&](std::span<const std::byte> datagram, const Endpoint &agent) { handleAgentDatagram(datagram, agent); });
-        });
+        const auto startedAt = currentTime();
+        bool arePacketsWaiting = false;
+        bool areDatagramsWaiting = false;
+        m_poll.wait(PollTimeout, [&](std::uint64_t token) { (token == CallersToken ? arePacketsWaiting : areDatagramsWaiting) = true; });
+        if (areDatagramsWaiting)
+            readAgentDatagrams();
+        else
+            markAgentMessagesRead(m_relay, startedAt);
+        if (arePacketsWaiting)
+            readCallerPackets();
         drainMailbox();
         sendQueries(m_relay, currentTime(), *this);
         m_daemonSocket.flush();
@@ -108,6 +113,27 @@
     send(m_program, Stopped {});
 }
 
+void RelayEntryTask::readAgentDatagrams()
+{
+    for (std::size_t batch = 0; batch < AgentBatchesPerRound; ++batch) {
+        const auto startedAt = currentTime();
+        const auto count = m_daemonSocket.receive(
+            [&](std::span<const std::byte> datagram, const Endpoint &agent) { handleAgentDatagram(datagram, agent); });
+        if (count == DatagramSocket::BatchSize)
+            continue;
+        markAgentMessagesRead(m_relay, startedAt);
+        return;
+    }
+}
+
+void RelayEntryTask::readCallerPackets()
+{
+    const auto count = m_callerSocket.receive([&](std::span<const std::byte> packet, const Endpoint &) { handleCallerPacket(packet); });
+    // A full batch takes long. What agents sent meanwhile is read before it is decided on timeouts.
+    if (count == DatagramSocket::BatchSize)
+        readAgentDatagrams();
+}
+
 void RelayEntryTask::startReadingCallers()
 {
     if (m_isReadingCallers || (!hasRoutesAndTargets(m_relay) && currentTime() - m_relay.startedAt < InitialReadTimeout))
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -33,6 +33,10 @@
     void recordDecision(const FlowKey &flow, RelayReason reason, const Endpoint &agent) override;
 
     void drainMailbox();
+    /// Reads what agents have sent until nothing is left, which the timeouts of agents depend on. Returns after a limited number of
+    /// datagrams, so that a flood does not keep callers' packets from being read.
+    void readAgentDatagrams();
+    void readCallerPackets();
     void handleCallerPacket(std::span<const std::byte> packet);
     void handleAgentDatagram(std::span<const std::byte> datagram, const Endpoint &agent);
     void handleNotice(const RelayNotice &notice, const Endpoint &agent);
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -139,11 +139,13 @@
         onAnswer(m_entry, agent, {hashOf("ledger"), {}, {{flow, verdict}}}, at(milliseconds), m_output);
     }
 
-    /// Ticks ten times a second, as a daemon that is not paused does.
+    /// Ticks ten times a second and reads the agents' messages before each tick, as a daemon that is not paused does.
     void tickUntil(int from, int until)
     {
-        for (int time = from; time <= until; time += 100)
+        for (int time = from; time <= until; time += 100) {
+            markAgentMessagesRead(m_entry, at(time));
             onEntryTick(m_entry, at(time), m_output);
+        }
     }
 
     std::uint32_t lastAgent() const { return m_output.sent.back().agent.address - 0x0a020000; }
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -253,6 +253,23 @@
     EXPECT_EQ(m_entry.flows.at(Flow).agent, agentOf(1));
 }
 
+// Failure: answers wait unread behind callers' packets, and the agent that sent them counts as unreachable.
+TEST_F(EntrySearchTest, TimeoutExcludesAnswersThatAreNotReadYet)
+{
+    m_entry.routes.routes[ServiceAddress].isIdempotent = true;
+    publish(makeTarget(1));
+    tickUntil(1'700, 2'000);
+    receive(makeData(501), 2'000);
+    // The daemon never stops, but has no time to read its agents' datagrams.
+    for (int time = 2'100; time <= 6'000; time += 100)
+        onEntryTick(m_entry, at(time), m_output);
+    EXPECT_TRUE(m_output.resets.empty());
+    notify(1, NoticeKind::Held, 6'002);
+    tickUntil(6'100, 7'000);
+    EXPECT_TRUE(m_output.resets.empty());
+    EXPECT_EQ(m_entry.flows.at(Flow).agent, agentOf(1));
+}
+
 TEST_F(EntrySearchTest, TargetIsProbedWhenAgentAnswersUnknown)
 {
     for (std::uint32_t number = 1; number <= 5; ++number)
