relay agent: Announce a planned restart to the entry daemons

What callers saw: open flows were reset with reason agent_unreachable while their target served and only its agent was restarted. Cause: an agent that gets SIGTERM ended without a word, and the stop and start on a thin VM take longer than the timeout of an answer. Change: an agent that stops while its target's port is open reports the new state agent_restarting, three times in 60 ms and in every other message, while it still relays packets. The state is a further value of a field that exists: older daemons read it as silent, which resets no flow; the schema does not change. Evidence, before: TestEntryRelay.cpp:172 (FlowIsKeptWhileItsAgentIsRestartedAsPlanned): m_output.resets.empty() is false, expected true, and :176: resets {501, 501}, expected {501}; TestAgentRelay.cpp:339 (StoppingAgentAnnouncesItsRestart): state 00, expected 03; RelayCodec.DecodesRestartOfAgent failed. NewFlowAvoidsTargetWhoseAgentIsRestarted, AgentOfTerminatedTargetAnnouncesNoRestart and UnknownTargetStateIsReadAsSilent passed before; they guard the behaviour that the change relies on.

--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -238,7 +238,7 @@
 void updateTargetState(AgentRelay &agent, TimePoint now)
 {
     const bool isSilent = agent.unansweredSynSince && now - *agent.unansweredSynSince >= agent.limits.synTimeout;
-    if (agent.load.state != TargetState::Closed)
+    if (agent.load.state != TargetState::Closed && agent.load.state != TargetState::AgentRestarting)
         agent.load.state = isSilent ? TargetState::Silent : TargetState::Answering;
 }
 
@@ -298,7 +298,8 @@
 void onTargetPacket(AgentRelay &agent, const PacketSummary &summary, std::span<const std::byte> packet, TimePoint now, AgentOutput &output)
 {
     agent.unansweredSynSince.reset();
-    agent.load.state = TargetState::Answering;
+    if (agent.load.state != TargetState::AgentRestarting)
+        agent.load.state = TargetState::Answering;
     if (summary.isReturned) {
         onReturned(agent, summary, packet, output);
         return;
@@ -342,6 +343,17 @@
     }
 }
 
+void announceRestart(AgentRelay &agent, TimePoint now, AgentOutput &output)
+{
+    if (agent.load.state == TargetState::Closed)
+        return;
+    agent.load.state = TargetState::AgentRestarting;
+    for (auto &[entry, subscription] : agent.subscriptions) {
+        subscription.reportedAt = now;
+        output.sendReport(entry, {agent.service, agent.load});
+    }
+}
+
 bool isPortCheckDue(const AgentRelay &agent, TimePoint now)
 {
     if (agent.load.state == TargetState::Closed)
--- a/Libraries/LibCoordination/AgentRelay.h
+++ b/Libraries/LibCoordination/AgentRelay.h
@@ -125,6 +125,11 @@
 /// immediately.
 void onPortClosed(AgentRelay &agent, TimePoint now, AgentOutput &output);
 
+/// Announces to every subscribed entry daemon that this agent is being restarted while its target keeps its flows, unless the
+/// target's port is closed. All later messages carry the announcement too. Call several times before the agent ends, since
+/// reports may be lost.
+void announceRestart(AgentRelay &agent, TimePoint now, AgentOutput &output);
+
 /// Returns whether the target left a SYN or a probe unanswered for so long that the agent's daemon should check whether the
 /// target's port is open.
 [[nodiscard]] bool isPortCheckDue(const AgentRelay &agent, TimePoint now);
--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -28,11 +28,18 @@
         resetFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
 }
 
-/// Queries the agents that left requests unanswered, until they answer or their targets count as terminated.
+/// Returns whether this daemon has to know at any time whether an agent answers: a request to it is unanswered, or it announced its
+/// restart.
+bool isContactRequired(const TargetRecord &record)
+{
+    return record.unanswered || record.load.state == TargetState::AgentRestarting;
+}
+
+/// Queries the agents whose answer decides whether flows are reset, until they answer or their targets count as terminated.
 void pingAgents(EntryRelay &entry, TimePoint now, EntryOutput &output)
 {
     for (const auto &[id, record] : entry.directory.targets) {
-        if (record.unanswered && !isTerminated(entry.directory, record, now))
+        if (isContactRequired(record) && !isTerminated(entry.directory, record, now))
             pingAgent(entry, record.published.agent, record.published.service, now, output);
     }
 }
--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -52,7 +52,9 @@
 {
     if (!record.unanswered || record.unanswered->queryCount < directory.limits.minimumUnansweredQueries)
         return false;
-    return directory.messagesReadUntil - record.unanswered->since >= time;
+    const bool isRestarting = record.load.state == TargetState::AgentRestarting;
+    const auto timeout = isRestarting ? std::max(time, directory.limits.plannedRestartTimeout) : time;
+    return directory.messagesReadUntil - record.unanswered->since >= timeout;
 }
 
 } // namespace
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -79,9 +79,11 @@
     Duration agentSilenceTimeout {3'000};
     /// Time until every entry daemon has read a newly listed target: the pause between two watches and the latency of one.
     Duration propagationTime {1'200};
-    /// An agent that left a request unanswered for this long is unreachable. An agent that ended is running
-    /// again within this time.
+    /// An agent that left a request unanswered for this long is unreachable. An agent that was killed, or whose announcement of its
+    /// restart was lost, is running again within this time.
     Duration answerTimeout {2'000};
+    /// The same for an agent that announced its restart: the time that a process may take to stop and start.
+    Duration plannedRestartTimeout {8'000};
     /// How often an agent with an unanswered request is queried again.
     Duration queryInterval {200};
     /// An agent is unreachable only after this many unanswered queries, since any of them or its answer may be lost.
--- a/Libraries/LibProtocol/RelayCodec.cpp
+++ b/Libraries/LibProtocol/RelayCodec.cpp
@@ -39,7 +39,7 @@
         return {};
     // A newer protocol version may send a state that this version does not define. Silent is the worst state that does not reset
     // the target's flows.
-    const bool isKnown = load->state() <= static_cast<std::uint8_t>(TargetState::Closed);
+    const bool isKnown = load->state() <= static_cast<std::uint8_t>(TargetState::AgentRestarting);
     const auto state = isKnown ? static_cast<TargetState>(load->state()) : TargetState::Silent;
     return {load->open_flows(), load->running_requests(), load->response_time(), state};
 }
--- a/Libraries/LibState/RelayMessages.cpp
+++ b/Libraries/LibState/RelayMessages.cpp
@@ -32,6 +32,8 @@
         return "silent";
     case TargetState::Closed:
         return "closed";
+    case TargetState::AgentRestarting:
+        return "agent_restarting";
     }
     return "unknown";
 }
--- a/Libraries/LibState/RelayMessages.h
+++ b/Libraries/LibState/RelayMessages.h
@@ -64,6 +64,9 @@
     Silent,
     /// The target's port is closed: no process listens there, and the flows of the previous one are lost.
     Closed,
+    /// The target's agent is being restarted as planned. The target keeps its flows, but no packets reach it until the next agent has
+    /// started. Older versions read this state as `Silent`.
+    AgentRestarting,
 };
 
 /// The load of one target, as measured by its agent.
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -21,6 +21,10 @@
 constexpr Duration TargetCheckTimeout {50};
 /// Minimum time between two connection attempts to a target that does not answer packets.
 constexpr Duration TargetCheckInterval {1'000};
+/// How often a stopping agent announces its restart, and the interval between the announcements. The agent relays packets meanwhile;
+/// after it no packets reach the target until the next agent has started.
+constexpr int RestartAnnouncements = 3;
+constexpr Duration AnnouncementInterval {30};
 
 } // namespace
 
@@ -58,6 +62,7 @@
                 m_outboundSocket.receive([&](std::span<const std::byte> packet, const Endpoint &) { handleTargetPacket(packet); });
         });
         drainMailbox();
+        continueStop();
         m_outboundSocket.flush();
         m_daemonSocket.flush();
     }
@@ -73,18 +78,31 @@
                 [&](const ExplainRequest &request) {
                     return ExplainReport {nlohmann::json({{"flow", request.flow}}).dump()};
                 },
-                // Stops without a delay: no packets reach the target until the next agent has started.
                 [&](Stop) { onStop(); });
     }
 }
 
 void RelayAgentTask::onStop()
 {
-    m_isStopped = true;
     // An agent stops either with its VM, after the target has exited, or to be restarted while the target keeps running. In the
     // first case checkTarget() finds the target's port closed and reports it to the subscribed entry daemons. They then reset the
-    // target's flows immediately and do not wait for this agent when they search for the target of a flow.
+    // target's flows immediately and do not wait for this agent when they search for the target of a flow. In the second case the
+    // entry daemons keep the flows until the next agent has started.
     checkTarget("stop");
+    if (m_relay.load.state == TargetState::Closed)
+        m_isStopped = true;
+    else
+        m_nextAnnouncementAt = currentTime();
+}
+
+void RelayAgentTask::continueStop()
+{
+    const auto now = currentTime();
+    if (!m_nextAnnouncementAt || now < *m_nextAnnouncementAt)
+        return;
+    announceRestart(m_relay, now, *this);
+    m_nextAnnouncementAt = now + AnnouncementInterval;
+    m_isStopped = ++m_announcementCount == RestartAnnouncements;
 }
 
 void RelayAgentTask::checkTarget(std::string_view cause)
--- a/Services/RelayAgent/RelayAgentTask.h
+++ b/Services/RelayAgent/RelayAgentTask.h
@@ -11,6 +11,7 @@
 #include "LibTransport/RelayProgram.h"
 
 #include <array>
+#include <optional>
 
 namespace Papaya {
 
@@ -36,6 +37,8 @@
 
     void drainMailbox();
     void onStop();
+    /// Announces the planned restart several times, since reports may be lost, and then ends the task.
+    void continueStop();
     /// Tries to connect to the target's port. When the port is closed, the subscribed entry daemons are informed. `cause` is
     /// written to the log.
     void checkTarget(std::string_view cause);
@@ -62,6 +65,9 @@
     std::array<std::byte, RelayDatagramSizeLimit> m_packetBuffer {};
     TimePoint m_targetCheckedAt;
     TargetState m_loggedState = TargetState::Answering;
+    /// When the planned restart is announced next; nothing while the agent is not stopping.
+    std::optional<TimePoint> m_nextAnnouncementAt;
+    int m_announcementCount = 0;
     bool m_isStopped = false;
 };
 
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -325,6 +325,30 @@
     EXPECT_LE(m_agent.probes.size(), 7U);
 }
 
+// Failure: entry daemons do not learn that a planned restart of the agent is the reason why it does not answer.
+TEST_F(AgentRelayTest, StoppingAgentAnnouncesItsRestart)
+{
+    openFlow();
+    m_output.reports.clear();
+    announceRestart(m_agent, at(1'000), m_output);
+    ASSERT_EQ(m_output.reports.size(), 1U);
+    EXPECT_EQ(m_output.reports[0].second.load.state, TargetState::AgentRestarting);
+    // The agent still relays packets for a moment. What it sends then must not revoke the announcement.
+    receiveFromTarget(makePacket(10), 1'010);
+    onAgentTick(m_agent, at(1'020), m_output);
+    EXPECT_EQ(answerQuery(m_agent, Entry, {Ledger, {}}, at(1'030)).load.state, TargetState::AgentRestarting);
+}
+
+TEST_F(AgentRelayTest, AgentOfTerminatedTargetAnnouncesNoRestart)
+{
+    openFlow();
+    onPortClosed(m_agent, at(1'000), m_output);
+    m_output.reports.clear();
+    announceRestart(m_agent, at(1'010), m_output);
+    EXPECT_TRUE(m_output.reports.empty());
+    EXPECT_EQ(m_agent.load.state, TargetState::Closed);
+}
+
 } // namespace
 
 } // namespace Papaya
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -158,6 +158,42 @@
     EXPECT_TRUE(m_output.resets.empty());
 }
 
+// Failure: the agent's start takes longer than the timeout, and the flows of its serving target are reset.
+TEST_F(EntryRelayTest, FlowIsKeptWhileItsAgentIsRestartedAsPlanned)
+{
+    m_entry.routes.routes[ServiceAddress].isIdempotent = true;
+    publish(makeTarget(1));
+    receive(makeSyn(), 0);
+    notify(1, NoticeKind::Accepted, 2, {}, 500);
+    auto data = makeData(501);
+    data.sequence = 900;
+    receive(data, 2'000);
+    onReport(m_entry, agentOf(1), {hashOf("ledger"), {1, 1, 0, TargetState::AgentRestarting}}, at(2'100), m_output);
+    receive(data, 2'400);
+    tickUntil(2'500, 10'000);
+    EXPECT_TRUE(m_output.resets.empty());
+    // The agent did not start again.
+    receive(data, 10'050);
+    tickUntil(10'100, 11'000);
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+}
+
+// Failure: new flows are placed at a target whose agent is being restarted, and wait for their second SYN.
+TEST_F(EntryRelayTest, NewFlowAvoidsTargetWhoseAgentIsRestarted)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    onReport(m_entry, agentOf(first), {hashOf("ledger"), {0, 0, 0, TargetState::AgentRestarting}}, at(2'010), m_output);
+    for (std::uint16_t port = 2; port < 20; ++port) {
+        auto syn = makeSyn();
+        syn.flow.caller.port = port;
+        receive(syn, 2'020);
+        EXPECT_NE(lastAgent(), first);
+    }
+}
+
 TEST_F(EntryRelayTest, OlderRoutesAreIgnored)
 {
     RouteTable routes = m_entry.routes;
--- a/Tests/LibProtocol/TestRelayCodec.cpp
+++ b/Tests/LibProtocol/TestRelayCodec.cpp
@@ -72,6 +72,24 @@
     EXPECT_EQ(std::get<RelayAnswer>(answer.value()).load.state, TargetState::Closed);
 }
 
+// Failure: the announcement of an agent's restart reaches no entry daemon.
+TEST(RelayCodec, DecodesRestartOfAgent)
+{
+    RelayEncoder encoder;
+    const auto report = decodeRelayDatagram(encoder.encode(RelayReport {12, {1, 2, 3, TargetState::AgentRestarting}}));
+    ASSERT_TRUE(report.has_value());
+    EXPECT_EQ(std::get<RelayReport>(report.value()).load.state, TargetState::AgentRestarting);
+}
+
+// Failure: a state of a later version resets the flows of its target, or makes the report unreadable.
+TEST(RelayCodec, UnknownTargetStateIsReadAsSilent)
+{
+    RelayEncoder encoder;
+    const auto report = decodeRelayDatagram(encoder.encode(RelayReport {12, {1, 2, 3, static_cast<TargetState>(200)}}));
+    ASSERT_TRUE(report.has_value());
+    EXPECT_EQ(std::get<RelayReport>(report.value()).load.state, TargetState::Silent);
+}
+
 TEST(RelayCodec, LargestQueriesAndAnswersFitIntoOneDatagram)
 {
     RelayEncoder encoder;
