LibCoordination: Ask the agent before a withdrawn target counts as gone

What callers saw: open flows were reset, or their targets left out of searches, while the targets served, after a store that was down or restored did not list them. Cause: a withdrawn target counted as terminated if its agent sent no message for 3 s, although nobody may have asked: the entry daemon had just started or stood still, reports were lost, or the agent was being restarted. One unanswered SYN (state silent) was enough too, while the agent runs and finds the port open. Change: agents of withdrawn targets are queried; the target counts as terminated 3 s after the withdrawal if the agent has left queries unanswered for 3 s that was read to the end (8 s if it announced its restart), or has reported the port closed. Evidence, before: TestTargetChoice.cpp:179 (WithdrawnTargetIsNotTerminatedBeforeItsAgentWasAsked) and :190 (WithdrawnSilentTargetIsNotTerminatedWhileItsAgentSends): isTerminated() is true, expected false; TestEntryRelay.cpp:189 (FlowOfWithdrawnTargetIsKeptWhileItsAgentIsRestarted) and :224 (FlowOfWithdrawnTargetIsKeptWhileAgentAnswersQueries): m_output.resets.empty() is false, expected true. Tests changed: SearchWaitsForSilentAgentUntilTargetTerminates let the daemon stand still for 3 s, after which it cannot know that the agent is silent; it now ticks, ends at the same time, and also checks that no reset comes before. WithdrawnTargetWithSilentAgentIsTerminated states the queries that its silence consists of; its times are the same.

--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -28,18 +28,19 @@
         resetFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
 }
 
-/// Returns whether this daemon has to know at any time whether an agent answers: a request to it is unanswered, or it announced its
-/// restart.
-bool isContactRequired(const TargetRecord &record)
+/// Returns whether this daemon has to know at any time whether an agent answers: a request to it is unanswered, its target is
+/// withdrawn, or it announced its restart.
+bool isContactRequired(const TargetRecord &record, TimePoint now)
 {
-    return record.unanswered || record.load.state == TargetState::AgentRestarting;
+    const bool isWithdrawn = record.withdrawnAt && *record.withdrawnAt <= now;
+    return record.unanswered || isWithdrawn || record.load.state == TargetState::AgentRestarting;
 }
 
 /// Queries the agents whose answer decides whether flows are reset, until they answer or their targets count as terminated.
 void pingAgents(EntryRelay &entry, TimePoint now, EntryOutput &output)
 {
     for (const auto &[id, record] : entry.directory.targets) {
-        if (isContactRequired(record) && !isTerminated(entry.directory, record, now))
+        if (isContactRequired(record, now) && !isTerminated(entry.directory, record, now))
             pingAgent(entry, record.published.agent, record.published.service, now, output);
     }
 }
--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -223,8 +223,7 @@
         return true;
     if (!record.withdrawnAt || now - *record.withdrawnAt < directory.limits.agentSilenceTimeout)
         return false;
-    const bool isAgentSilent = !record.lastMessageAt || now - *record.lastMessageAt >= directory.limits.agentSilenceTimeout;
-    return isAgentSilent || record.load.state != TargetState::Answering;
+    return record.load.state == TargetState::Closed || hasLeftUnanswered(directory, record, directory.limits.agentSilenceTimeout);
 }
 
 void removeWithdrawn(TargetDirectory &directory, TimePoint now)
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -75,7 +75,8 @@
     Duration maximumSuspicionTime {4'000};
     /// How long a withdrawn target stays in the directory, so that searches still ask its agent; no flow lives longer than this.
     Duration withdrawnTargetRetention {65'000};
-    /// A withdrawn target whose agent sent no message for this long counts as terminated with all its flows.
+    /// A target that has been withdrawn for this long, and whose agent left queries unanswered for this long, counts as terminated with
+    /// all its flows.
     Duration agentSilenceTimeout {3'000};
     /// Time until every entry daemon has read a newly listed target: the pause between two watches and the latency of one.
     Duration propagationTime {1'200};
@@ -157,7 +158,8 @@
 [[nodiscard]] TargetRecord *findByAgent(TargetDirectory &directory, const Endpoint &agent);
 [[nodiscard]] const TargetRecord *findByAgent(const TargetDirectory &directory, const Endpoint &agent);
 
-/// Returns whether a target has certainly terminated, and all its flows with it.
+/// Returns whether a target has certainly terminated, and all its flows with it: its port is closed, or it is withdrawn and its agent
+/// does not answer either.
 [[nodiscard]] bool isTerminated(const TargetDirectory &directory, const TargetRecord &record, TimePoint now);
 
 /// Removes targets that were withdrawn so long ago that none of their flows can still be open.
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -178,6 +178,21 @@
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
 }
 
+// Failure: a target that is withdrawn while its agent is restarted counts as terminated although it serves.
+TEST_F(EntryRelayTest, FlowOfWithdrawnTargetIsKeptWhileItsAgentIsRestarted)
+{
+    publish(makeTarget(1));
+    receive(makeSyn(), 0);
+    notify(1, NoticeKind::Accepted, 2, {}, 500);
+    receive(makeData(501), 4);
+    onReport(m_entry, agentOf(1), {hashOf("ledger"), {1, 1, 0, TargetState::AgentRestarting}}, at(2'000), m_output);
+    (void)applyWithdrawn(m_entry.directory, makeTarget(1).id, at(2'100));
+    tickUntil(2'200, 9'000);
+    EXPECT_TRUE(m_output.resets.empty());
+    tickUntil(9'100, 11'000);
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+}
+
 // Failure: new flows are placed at a target whose agent is being restarted, and wait for their second SYN.
 TEST_F(EntryRelayTest, NewFlowAvoidsTargetWhoseAgentIsRestarted)
 {
@@ -194,6 +209,27 @@
     }
 }
 
+// Failure: a withdrawn target's agent sent no report, since the subscription was lost, and the open flows are reset unasked.
+TEST_F(EntryRelayTest, FlowOfWithdrawnTargetIsKeptWhileAgentAnswersQueries)
+{
+    publish(makeTarget(1));
+    receive(makeSyn(), 0);
+    notify(1, NoticeKind::Accepted, 2, {}, 500);
+    receive(makeData(501), 4);
+    (void)applyWithdrawn(m_entry.directory, makeTarget(1).id, at(2'000));
+    for (int time = 2'100; time <= 12'000; time += 100) {
+        const auto queryCount = m_output.queries.size();
+        tickUntil(time, time);
+        if (m_output.queries.size() > queryCount)
+            onAnswer(m_entry, agentOf(1), {hashOf("ledger"), {}, {}}, at(time + 2), m_output);
+    }
+    EXPECT_TRUE(m_output.resets.empty());
+    // The target's VM is gone.
+    tickUntil(12'100, 16'000);
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    EXPECT_TRUE(m_output.hasRecorded(RelayReason::TargetGone));
+}
+
 TEST_F(EntryRelayTest, OlderRoutesAreIgnored)
 {
     RouteTable routes = m_entry.routes;
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -76,8 +76,9 @@
     receive(makeData(501), 2'000);
     EXPECT_TRUE(m_output.resets.empty());
     (void)applyWithdrawn(m_entry.directory, makeTarget(2).id, at(2'100));
-    receive(makeData(501), 5'200);
-    onEntryTick(m_entry, at(5'400), m_output);
+    tickUntil(2'100, 5'000);
+    EXPECT_TRUE(m_output.resets.empty());
+    tickUntil(5'100, 5'400);
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
 }
 
--- a/Tests/LibCoordination/TestTargetChoice.cpp
+++ b/Tests/LibCoordination/TestTargetChoice.cpp
@@ -162,13 +162,40 @@
     const auto id = makeTarget(1).id;
     (void)applyWithdrawn(directory, id, Now);
     applyLoad(directory, makeTarget(1).agent, Ledger, {}, Now + Duration(2'500));
+    for (int time = 2'600; time <= 5'600; time += 200)
+        recordQuery(directory, makeTarget(1).agent, Now + Duration(time));
+    directory.messagesReadUntil = Now + Duration(4'000);
     EXPECT_FALSE(isTerminated(directory, directory.targets.at(id), Now + Duration(4'000)));
+    directory.messagesReadUntil = Now + Duration(5'600);
     EXPECT_TRUE(isTerminated(directory, directory.targets.at(id), Now + Duration(5'600)));
     removeWithdrawn(directory, Now + Duration(66'000));
     EXPECT_TRUE(directory.targets.empty());
     EXPECT_TRUE(directory.targetOfAgent.empty());
 }
 
+// Failure: an entry daemon that has just started, or was frozen, declares a withdrawn target terminated without asking its agent.
+TEST(TargetDirectory, WithdrawnTargetIsNotTerminatedBeforeItsAgentWasAsked)
+{
+    auto directory = makeDirectory(1);
+    const auto id = makeTarget(1).id;
+    (void)applyWithdrawn(directory, id, Now);
+    directory.messagesReadUntil = Now + Duration(9'000);
+    EXPECT_FALSE(isTerminated(directory, directory.targets.at(id), Now + Duration(9'000)));
+}
+
+// Failure: a withdrawn target that left one SYN unanswered counts as terminated, though its agent runs and its port is open.
+TEST(TargetDirectory, WithdrawnSilentTargetIsNotTerminatedWhileItsAgentSends)
+{
+    auto directory = makeDirectory(1);
+    const auto id = makeTarget(1).id;
+    (void)applyWithdrawn(directory, id, Now);
+    applyLoad(directory, makeTarget(1).agent, Ledger, {1, 0, 0, TargetState::Silent}, Now + Duration(3'900));
+    directory.messagesReadUntil = Now + Duration(4'000);
+    EXPECT_FALSE(isTerminated(directory, directory.targets.at(id), Now + Duration(4'000)));
+    applyLoad(directory, makeTarget(1).agent, Ledger, {0, 0, 0, TargetState::Closed}, Now + Duration(4'100));
+    EXPECT_TRUE(isTerminated(directory, directory.targets.at(id), Now + Duration(4'200)));
+}
+
 // Failure: a request whose answer depends on the target, or one query that was lost, decides that the agent is unreachable.
 TEST(TargetDirectory, AgentIsUnreachableOnlyAfterSeveralQueries)
 {
