LibCoordination: Reset for an unreachable agent only with a current list

What callers saw: an entry daemon that started while the store was away could reset open flows with reason agent_unreachable although their targets served. Change: both ends of a search, denied by all and unreachable, need the same evidence about the list: as new as the flow's placement, or for idempotent requests read from the platform itself at least once. Evidence, before: TestRelayKnowledge.cpp:118 (FlowWithUnreachableAgentIsNotResetWithTargetsFromSnapshotOnly): m_output.resets is 1, expected 0. The test also checks that the flow is reset once the platform was read.

--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -85,20 +85,15 @@
     return arePropagated ? flow.searchStartedAt - entry.directory.limits.propagationTime : flow.searchStartedAt;
 }
 
-/// Resets a flow that the agents of all targets in the directory denied. If the flow's target may have been listed too recently
-/// to be in the directory, the reset becomes pending instead.
-void resetDeniedFlow(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+/// Returns whether the list of targets is sufficient to reset a flow that no target in the directory is known to hold.
+bool isTargetListSufficient(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow, TimePoint now)
 {
-    const bool isCurrent = areTargetsCurrentAsOf(entry, requiredTargetListTime(entry, key, flow), now);
-    // A list from another entry daemon may lack targets, so a denied flow is not reset before the platform itself was read.
+    if (areTargetsCurrentAsOf(entry, requiredTargetListTime(entry, key, flow), now))
+        return true;
+    // A list from another entry daemon may lack targets, so no flow is reset before the platform itself was read.
     const bool hasPlatformList = entry.targetsCurrentAsOf != TimePoint {};
     const bool hasDelayElapsed = now - flow.searchStartedAt >= entry.limits.maximumResetDelay;
-    if (isCurrent || (hasPlatformList && hasDelayElapsed && isIdempotent(entry, key))) {
-        resetFlow(key, flow, RelayReason::HeldByNobody, flow.acknowledged, now, output);
-        return;
-    }
-    entry.pendingResets.push_back(key);
-    output.refreshTargets();
+    return hasPlatformList && hasDelayElapsed && isIdempotent(entry, key);
 }
 
 /// Returns whether every agent that has not answered is unreachable and may be disregarded; true if all have answered.
@@ -109,17 +104,24 @@
     });
 }
 
-/// Ends a search whose agents were all asked, unless one of them may still answer.
+/// Ends a search whose agents were all asked, unless one of them may still answer: resets the flow. If the flow's target may have
+/// been listed too recently to be in the directory, the reset becomes pending instead.
 void finishSearch(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    if (flow.candidates.empty()) {
-        resetDeniedFlow(entry, key, flow, now, output);
-        return;
-    }
     if (!areAllCandidatesUnreachable(entry, key, flow))
         return;
-    flow.agent = flow.candidates.front().agent;
-    resetFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+    const bool hasBeenDenied = flow.candidates.empty();
+    if (!isTargetListSufficient(entry, key, flow, now)) {
+        // retrySearch() tries again while there are candidates.
+        if (hasBeenDenied)
+            entry.pendingResets.push_back(key);
+        output.refreshTargets();
+        return;
+    }
+    if (!hasBeenDenied)
+        flow.agent = flow.candidates.front().agent;
+    const auto reason = hasBeenDenied ? RelayReason::HeldByNobody : RelayReason::AgentUnreachable;
+    resetFlow(key, flow, reason, flow.acknowledged, now, output);
 }
 
 /// Returns the agents of the plan that were not asked yet.
--- a/Libraries/LibCoordination/RelayKnowledge.h
+++ b/Libraries/LibCoordination/RelayKnowledge.h
@@ -22,11 +22,9 @@
 /// Applies the snapshot of another entry daemon, unless the snapshot has no routes or this daemon already has routes and targets
 /// from the platform or from an earlier snapshot. Returns whether the snapshot was applied.
 ///
-/// The targets of a snapshot do not count as a current list: a flow that every agent denied is not reset before the platform
-/// itself was read (`RelayReason::HeldByNobody`). Other resets may occur with a snapshot alone:
-/// - A search ends with a reset if every agent that has not denied the flow is unreachable and the requests of the flow's route
-///   are idempotent (`RelayReason::AgentUnreachable`). The flow's target may be missing from the snapshot nevertheless.
-/// - A flow to an address for which the snapshot has no route is reset (`RelayReason::UnknownRoute`).
+/// The targets of a snapshot do not count as a current list: a flow that no target is known to hold is not reset before the
+/// platform itself was read (`RelayReason::HeldByNobody`, `RelayReason::AgentUnreachable`). A flow to an address for which the
+/// snapshot has no route is reset (`RelayReason::UnknownRoute`).
 bool importKnowledge(EntryRelay &entry, const RelayKnowledge &knowledge, TimePoint now, EntryOutput &output);
 
 } // namespace Papaya
--- a/Tests/LibCoordination/TestRelayKnowledge.cpp
+++ b/Tests/LibCoordination/TestRelayKnowledge.cpp
@@ -98,6 +98,29 @@
     EXPECT_EQ(m_output.resets, 0);
 }
 
+// Failure: an unreachable agent lets a flow be reset whose target is missing from another entry daemon's snapshot.
+TEST_F(RelayKnowledgeTest, FlowWithUnreachableAgentIsNotResetWithTargetsFromSnapshotOnly)
+{
+    const auto knowledge = exportKnowledge(m_initialized, Start);
+    ASSERT_TRUE(importKnowledge(m_uninitialized, *knowledge, Start, m_output));
+    PacketSummary data;
+    data.flow = {{0x64400007, 40'001}, ServiceAddress};
+    data.hasAcknowledgement = true;
+    data.length = 10;
+    onCallerPacket(m_uninitialized, data, std::vector<std::byte>(100), Start + Duration(10), m_output);
+    const auto tickUntil = [&](int from, int until) {
+        for (int time = from; time <= until; time += 100) {
+            markAgentMessagesRead(m_uninitialized, Start + Duration(time));
+            onEntryTick(m_uninitialized, Start + Duration(time), m_output);
+        }
+    };
+    tickUntil(100, 6'000);
+    EXPECT_EQ(m_output.resets, 0);
+    markTargetsCurrent(m_uninitialized, Start + Duration(6'000));
+    tickUntil(6'100, 6'500);
+    EXPECT_EQ(m_output.resets, 1);
+}
+
 } // namespace
 
 } // namespace Papaya
