tests: Restart agents as planned while callers send

What callers saw: the flows of a serving target were reset while only its agent was restarted. No test with real daemons had this case: the stand-in of the target had no TCP port, unlike the platform's targets with their health path, so a stopping agent always found the port closed and took the target for gone. Change: EchoTarget accepts TCP connections at its application's address, which makes the existing tests stricter in the same way. RelayDaemons.PlannedRestartOfAgentsKeepsEveryFlow stops all agents by SIGTERM, lets the callers of 24 flows retransmit for 4 s, twice the timeout of an answer, and starts the agents again.

--- a/Tests/RelayDeployment/EchoTarget.cpp
+++ b/Tests/RelayDeployment/EchoTarget.cpp
@@ -1,6 +1,7 @@
 #include "EchoTarget.h"
 
 #include "LibTransport/EventPoll.h"
+#include "LibTransport/StreamSocket.h"
 #include "WirePacket.h"
 #include "platform/PacketCodec.h"
 
@@ -8,6 +9,8 @@
 
 namespace {
 
+constexpr std::uint64_t PacketsToken = 1;
+constexpr std::uint64_t HealthToken = 2;
 constexpr Duration PollInterval {20};
 constexpr std::uint32_t SequenceStep = 100'000;
 
@@ -15,6 +18,7 @@
 
 EchoTarget::EchoTarget(const Endpoint &application, const Endpoint &outbound, std::string name)
     : m_socket(DatagramSocket::bind(application).value())
+    , m_healthListener(std::move(listenStream(application).value()))
     , m_outbound(outbound)
     , m_name(std::move(name))
     , m_thread([this] { run(); })
@@ -30,10 +34,16 @@
 void EchoTarget::run()
 {
     EventPoll poll;
-    poll.addReader(m_socket.descriptor(), 1);
-    while (!m_isStopping)
-        poll.wait(PollInterval,
-                  [&](std::uint64_t) { m_socket.receive([&](std::span<const std::byte> packet, const Endpoint &) { receive(packet); }); });
+    poll.addReader(m_socket.descriptor(), PacketsToken);
+    poll.addReader(m_healthListener.get(), HealthToken);
+    while (!m_isStopping) {
+        poll.wait(PollInterval, [&](std::uint64_t token) {
+            if (token == HealthToken)
+                (void)acceptStream(m_healthListener);
+            else
+                m_socket.receive([&](std::span<const std::byte> packet, const Endpoint &) { receive(packet); });
+        });
+    }
 }
 
 void EchoTarget::receive(std::span<const std::byte> packet)
--- a/Tests/RelayDeployment/EchoTarget.h
+++ b/Tests/RelayDeployment/EchoTarget.h
@@ -2,6 +2,7 @@
 
 #include "LibState/PacketSummary.h"
 #include "LibTransport/DatagramSocket.h"
+#include "LibTransport/FileDescriptor.h"
 
 #include <atomic>
 #include <thread>
@@ -14,7 +15,8 @@
 class EchoTarget
 {
 public:
-    /// Receives packets at `application` and sends packets to `outbound`.
+    /// Receives packets at `application` and sends packets to `outbound`. Accepts TCP connections at `application`, as targets do for
+    /// health checks: their agents check there whether the target runs.
     EchoTarget(const Endpoint &application, const Endpoint &outbound, std::string name);
     ~EchoTarget();
     EchoTarget(const EchoTarget &) = delete;
@@ -34,6 +36,7 @@
     void send(const PacketSummary &summary, std::string_view data = {});
 
     DatagramSocket m_socket;
+    FileDescriptor m_healthListener;
     Endpoint m_outbound;
     std::string m_name;
     std::unordered_map<FlowKey, Flow> m_flows;
--- a/Tests/RelayWhole/TestRelayDaemons.cpp
+++ b/Tests/RelayWhole/TestRelayDaemons.cpp
@@ -72,6 +72,22 @@
         return flow.answer;
     }
 
+    /// Sends a request on each flow again and again for a time, as callers do that get no answer. Answers are not awaited.
+    void retransmitOnAllFlows(const std::string &text, Duration time)
+    {
+        const auto end = currentTime() + time;
+        while (currentTime() < end) {
+            for (auto &[port, flow] : m_flows) {
+                PacketSummary data;
+                data.flow = flow.key;
+                data.hasAcknowledgement = true;
+                data.acknowledgement = flow.acknowledgement;
+                send(data, text);
+            }
+            receiveUntil(RetransmissionInterval, [] { return false; });
+        }
+    }
+
     [[nodiscard]] bool isReset(std::uint16_t port) const { return m_flows.at(port).isReset; }
 
 private:
@@ -186,6 +202,24 @@
     requestOnAllFlows("after-");
 }
 
+// Failure: the flows of a serving target are reset while its agent is stopped and started, which takes seconds on a thin VM.
+TEST_F(RelayDaemons, PlannedRestartOfAgentsKeepsEveryFlow)
+{
+    const std::vector<std::string> agents {"agent-0", "agent-1", "agent-2", "agent-3", "agent-4"};
+    openAll();
+    requestOnAllFlows("before-");
+    for (const auto &agent : agents)
+        m_deployment.signal(agent, SIGTERM);
+    for (const auto &agent : agents)
+        m_deployment.waitForExit(agent);
+    m_callers.retransmitOnAllFlows("meanwhile", Duration(4'000));
+    for (std::uint16_t port = FirstPort; port < FirstPort + Flows; ++port)
+        EXPECT_FALSE(m_callers.isReset(port)) << port;
+    for (const auto &agent : agents)
+        m_deployment.start(agent);
+    requestOnAllFlows("after-");
+}
+
 TEST_F(RelayDaemons, StoppingEntryDaemonBecomesUnreadyAndKeepsForwarding)
 {
     openAll();
