--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -136,6 +136,15 @@
         output.sendToAgent(last->agent, {last->service, EnvelopePurpose::Forward, packet});
 }
 
+/// Returns whether the caller opened the flow at a target that this entry daemon did not send the SYN to: all targets that may have
+/// accepted it here have reported their SYN-ACKs, and the caller acknowledges none of them.
+bool isOpenElsewhere(const PacketSummary &summary, const EntryFlow &flow)
+{
+    return std::all_of(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) {
+        return candidate.hasReturnedSyn || (candidate.sequence && summary.acknowledgement != *candidate.sequence + 1);
+    });
+}
+
 /// Selects the target that a flow opened at: the one whose sequence number the caller acknowledges.
 void selectOwner(const PacketSummary &summary, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
@@ -144,7 +153,7 @@
         if (candidate.sequence && summary.acknowledgement == *candidate.sequence + 1)
             owner = &candidate;
     }
-    flow.isConfirmed = owner != nullptr;
+    flow.evidence = owner == nullptr ? FlowEvidence::Assumed : FlowEvidence::Handshake;
     // The agent's notice of the SYN-ACK may be lost or late. Then the flow is forwarded to the last target that did not return
     // the SYN, and that target's reaction to the packet shows whether it holds the flow.
     const auto unreturned = std::find_if(
@@ -154,6 +163,7 @@
     flow.agent = owner->agent;
     flow.service = owner->service;
     flow.stage = EntryFlowStage::Open;
+    flow.handshakeAcknowledgement = summary.acknowledgement;
     flow.changedAt = now;
     flow.candidates.clear();
     output.recordDecision(summary.flow, RelayReason::Opened, flow.agent);
@@ -178,7 +188,10 @@
 {
     detectRetransmission(entry, summary, flow, now, output);
     if (mayResetWithoutAgent(entry, summary.flow, flow.agent) && !summary.isReset) {
-        resetFlow(summary.flow, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+        if (flow.evidence == FlowEvidence::Assumed)
+            startSearch(entry, summary, flow, packet, now, output);
+        else
+            resetFlow(summary.flow, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
         return;
     }
     output.sendToAgent(flow.agent, {flow.service, EnvelopePurpose::Forward, packet});
@@ -223,6 +236,10 @@
             forwardRetransmittedSyn(entry, summary.flow, flow, packet, now, output);
             return;
         }
+        if (isOpenElsewhere(summary, flow)) {
+            startSearch(entry, summary, flow, packet, now, output);
+            return;
+        }
         selectOwner(summary, flow, now, output);
         forwardOpen(entry, summary, flow, packet, now, output);
         return;
@@ -262,7 +279,8 @@
     resetFlow(summary.flow, flow, RelayReason::AllReturned, summary.acknowledgement, now, output);
 }
 
-/// Processes a packet that a target returned because it does not hold the packet's flow.
+/// Processes a packet that a target returned because it does not hold the packet's flow. The flow may be open at another target,
+/// also if it was confirmed here, so it is reset only when all agents have denied it.
 void onPacketReturned(EntryRelay &entry,
                       const Endpoint &agent,
                       const PacketSummary &summary,
@@ -277,10 +295,6 @@
     }
     if (flow.stage != EntryFlowStage::Open || flow.agent != agent || summary.isReset)
         return;
-    if (flow.isConfirmed) {
-        resetFlow(summary.flow, flow, RelayReason::LostAtTarget, summary.acknowledgement, now, output);
-        return;
-    }
     startSearch(entry, summary, flow, packet, now, output);
     onFlowDenied(entry, agent, summary.flow, flow, now, output);
 }
@@ -301,6 +315,13 @@
         onPacketReturned(entry, agent, summary, flow->second, notice.packet, now, output);
 }
 
+/// Returns whether a SYN-ACK from the assumed target of an open flow is the one that the caller acknowledged.
+bool isAcceptedByOwner(const EntryFlow &flow, const Endpoint &agent, std::uint32_t sequence)
+{
+    return flow.stage == EntryFlowStage::Open && flow.evidence == FlowEvidence::Assumed && flow.agent == agent
+           && flow.handshakeAcknowledgement == sequence + 1;
+}
+
 void onAccepted(EntryRelay &entry, const Endpoint &agent, const RelayNotice &notice)
 {
     clearSuspicion(entry.directory, agent);
@@ -309,16 +330,19 @@
         return;
     if (auto *candidate = findCandidate(flow->second, agent))
         candidate->sequence = notice.sequence;
-    else if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent)
-        flow->second.isConfirmed = true;
+    else if (isAcceptedByOwner(flow->second, agent, notice.sequence))
+        flow->second.evidence = FlowEvidence::LateSynAck;
 }
 
-/// Resets the open flows of an agent's target.
-void resetFlowsOfAgent(EntryRelay &entry, const Endpoint &agent, TimePoint now, EntryOutput &output)
+/// Ends the open flows of an agent whose target has terminated.
+void endFlowsOfAgent(EntryRelay &entry, const Endpoint &agent, TimePoint now, EntryOutput &output)
 {
-    for (auto &[key, flow] : entry.flows) {
-        if (flow.stage == EntryFlowStage::Open && flow.agent == agent && !flow.isFinished)
-            resetFlow(key, flow, RelayReason::TargetGone, flow.acknowledged, now, output);
+    for (auto item = entry.flows.begin(); item != entry.flows.end();) {
+        const auto current = item++;
+        auto &[key, flow] = *current;
+        const bool isAtAgent = flow.stage == EntryFlowStage::Open && flow.agent == agent && !flow.isFinished;
+        if (isAtAgent && endFlowAtTarget(key, flow, RelayReason::TargetGone, now, output))
+            entry.flows.erase(current);
     }
 }
 
@@ -333,17 +357,34 @@
     sendQueries(entry, now, output);
 }
 
-/// Applies an agent's answer on a flow that is open at its target according to the cache.
-void applyFinding(EntryFlow &flow, const FlowFinding &finding, TimePoint now, EntryOutput &output)
+/// Applies an agent's answer on a flow that is open at its target according to the cache. Returns whether the flow's entry has to be
+/// removed, since its target was only assumed.
+[[nodiscard]] bool applyFinding(EntryFlow &flow, const FlowFinding &finding, TimePoint now, EntryOutput &output)
 {
     if (finding.verdict == FlowVerdict::Held)
-        flow.isConfirmed = true;
-    else if (finding.verdict == FlowVerdict::Denied && !flow.isFinished)
-        resetFlow(finding.flow, flow, RelayReason::TargetGone, flow.acknowledged, now, output);
+        flow.evidence = FlowEvidence::Held;
+    if (finding.verdict != FlowVerdict::Denied || flow.isFinished)
+        return false;
+    return endFlowAtTarget(finding.flow, flow, RelayReason::TargetGone, now, output);
 }
 
 } // namespace
 
+std::string_view flowEvidenceName(FlowEvidence evidence)
+{
+    switch (evidence) {
+    case FlowEvidence::Assumed:
+        return "assumed";
+    case FlowEvidence::Handshake:
+        return "handshake";
+    case FlowEvidence::LateSynAck:
+        return "late_syn_ack";
+    case FlowEvidence::Held:
+        return "held";
+    }
+    return "unknown";
+}
+
 void detectPause(EntryRelay &entry, TimePoint now)
 {
     if (now - entry.lastActiveAt >= entry.limits.pauseThreshold)
@@ -419,7 +460,7 @@
     applyLoad(entry.directory, agent, report.service, report.load, now);
     if (report.load.state != TargetState::Closed)
         return;
-    resetFlowsOfAgent(entry, agent, now, output);
+    endFlowsOfAgent(entry, agent, now, output);
     for (auto &[key, flow] : entry.flows) {
         if (flow.stage == EntryFlowStage::Searching)
             onFlowDenied(entry, agent, key, flow, now, output);
@@ -435,9 +476,10 @@
         const auto flow = entry.flows.find(finding.flow);
         if (flow == entry.flows.end())
             continue;
-        if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent)
-            applyFinding(flow->second, finding, now, output);
-        else if (finding.verdict == FlowVerdict::Held)
+        if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent) {
+            if (applyFinding(flow->second, finding, now, output))
+                entry.flows.erase(flow);
+        } else if (finding.verdict == FlowVerdict::Held)
             onFlowHeld(agent, answer.service, finding.flow, flow->second, now, output);
         else if (finding.verdict == FlowVerdict::Denied)
             onFlowDenied(entry, agent, finding.flow, flow->second, now, output);
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -118,9 +118,12 @@
         output.refreshTargets();
         return;
     }
-    if (!hasBeenDenied)
+    if (!hasBeenDenied) {
         flow.agent = flow.candidates.front().agent;
-    const auto reason = hasBeenDenied ? RelayReason::HeldByNobody : RelayReason::AgentUnreachable;
+        resetFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+        return;
+    }
+    const auto reason = flow.evidence == FlowEvidence::Assumed ? RelayReason::HeldByNobody : RelayReason::LostAtTarget;
     resetFlow(key, flow, reason, flow.acknowledged, now, output);
 }
 
@@ -248,7 +251,7 @@
     flow.stage = EntryFlowStage::Open;
     flow.agent = agent;
     flow.service = service;
-    flow.isConfirmed = true;
+    flow.evidence = FlowEvidence::Held;
     flow.changedAt = now;
     flow.candidates.clear();
     flow.deniedBy.clear();
@@ -347,15 +350,23 @@
     }
 }
 
+bool endFlowAtTarget(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output)
+{
+    if (flow.evidence == FlowEvidence::Assumed)
+        return true;
+    resetFlow(key, flow, reason, flow.acknowledged, now, output);
+    return false;
+}
+
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output)
 {
+    output.recordDecision(key, reason, flow.agent);
     flow.stage = EntryFlowStage::Ended;
     flow.changedAt = now;
     flow.lastSeenAt = now;
     flow.candidates.clear();
     flow.deniedBy.clear();
     flow.bufferedPackets.clear();
-    output.recordDecision(key, reason, flow.agent);
     output.resetCaller(key, sequence);
 }
 
