Deployment: Wait for the fabric's listeners

Cause: Deployment::start() waited for the platform and the daemons but not for standin-fabric, which then refused the caller's connection. A connection to a caller address as the check would open a flow. addTarget() waits for the target too and reports failure. Tests/RelayDeployment waits for the store, the targets and the entry daemons but not for the agents, whose callers retransmit; it is unchanged.

--- a/Tests/Deployment/Deployment.cpp
+++ b/Tests/Deployment/Deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "LibProtocol/VmListJson.h"
 #include "LibTransport/SocketAddress.h"
+#include "LibTransport/StreamSocket.h"
 
 #include <httplib.h>
 
@@ -11,9 +12,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -30,6 +33,7 @@
 constexpr std::array<const char *, 3> FailureDomains {"patan", "bhaktapur", "kirtipur"};
 constexpr auto StartTimeout = 30s;
 constexpr auto PollInterval = 20ms;
+constexpr auto ProbeTimeout = 1s;
 
 bool isPortFree(const Endpoint &endpoint, int type)
 {
@@ -95,11 +99,12 @@
         publishVmList();
     }
     startFabric();
-    for (const auto &machine : m_vmList.machines) {
-        if (machine.role == VmRole::Target)
-            startProcess("target-" + machine.name);
+    for (const auto &[name, addresses] : m_targets)
+        startProcess("target-" + name);
+    if (!waitUntil([&] { return isFabricListening() && areTargetsListening(); }, StartTimeout))
+        return false;
+    for (const auto &machine : m_vmList.machines)
         startProcess(machine.name);
-    }
     return !m_plan.publishesBeforeStart || waitUntil([&] { return areDaemonsReady(); }, StartTimeout);
 }
 
@@ -145,13 +150,16 @@
     startProcess(name);
 }
 
-void Deployment::addTarget(const TestService &service, const std::string &name)
+bool Deployment::addTarget(const TestService &service, const std::string &name)
 {
     prepareTarget(service, name);
     startProcess("target-" + name);
+    if (!waitUntil([&] { return areTargetsListening(); }, StartTimeout))
+        return false;
     ++m_vmList.version;
     publishVmList();
     startProcess(name);
+    return true;
 }
 
 void Deployment::removeVm(const std::string &name)
@@ -398,6 +406,28 @@
                                       "--name=" + name}};
 }
 
+bool Deployment::isFabricListening() const
+{
+    const auto response = makeClient(m_fabricOperator).Get("/listeners");
+    if (!response || response->status != 200)
+        return false;
+    std::istringstream lines(response->body);
+    std::set<std::string> listeners;
+    for (std::string line; std::getline(lines, line);)
+        listeners.insert(line);
+    return std::all_of(m_callerAddresses.begin(), m_callerAddresses.end(), [&](const auto &caller) {
+        return listeners.contains(toString(caller.second));
+    });
+}
+
+bool Deployment::areTargetsListening() const
+{
+    const auto isListening = [](const Endpoint &endpoint) { return probeTcpPort(endpoint, ProbeTimeout) == ConnectProgress::Connected; };
+    return std::all_of(m_targets.begin(), m_targets.end(), [&](const auto &target) {
+        return isListening(target.second.target) && isListening(target.second.journal);
+    });
+}
+
 bool Deployment::areDaemonsReady() const
 {
     for (const auto &machine : m_vmList.machines) {
--- a/Tests/Deployment/Deployment.h
+++ b/Tests/Deployment/Deployment.h
@@ -57,8 +57,8 @@
     Deployment(const Deployment &) = delete;
     Deployment &operator=(const Deployment &) = delete;
 
-    /// Starts every process and waits until all daemons are ready. Returns false if the platform or the daemons are not ready in
-    /// time. If the plan does not publish before the start, the daemons cannot become ready and are not waited for.
+    /// Starts every process and waits until the stand-ins listen and all daemons are ready. Returns false if that takes too long. If
+    /// the plan does not publish before the start, the daemons cannot become ready and are not waited for.
     [[nodiscard]] bool start();
 
     /// Starts a process of the deployment that has not been started or has exited. A restart keeps its name and addresses.
@@ -71,9 +71,11 @@
     void killProcess(const std::string &name);
     [[nodiscard]] bool isRunning(const std::string &name);
 
-    /// Adds an entry VM or a target VM to the VM list, publishes the list, and starts the VM's processes.
+    /// Adds an entry VM to the VM list, publishes the list, and starts the VM's daemon.
     void addEntry(const std::string &name);
-    void addTarget(const TestService &service, const std::string &name);
+    /// Starts a target, waits until it listens, adds its VM to the VM list, publishes the list, and starts the VM's daemon. Returns
+    /// false if the target does not listen in time.
+    [[nodiscard]] bool addTarget(const TestService &service, const std::string &name);
     /// Removes a VM from the VM list, or sets its state, and publishes the list.
     void removeVm(const std::string &name);
     void setVmState(const std::string &name, VmState state);
@@ -131,6 +133,11 @@
     /// them.
     void prepareEntry(const std::string &name);
     void prepareTarget(const TestService &service, const std::string &name);
+    /// Returns whether the fabric listens on its operator port and on the caller address of every service. The fabric is asked for its
+    /// listeners, since a connection to a caller address would open a flow.
+    [[nodiscard]] bool isFabricListening() const;
+    /// Returns whether every target listens on its target address and on its journal address.
+    [[nodiscard]] bool areTargetsListening() const;
     [[nodiscard]] bool areDaemonsReady() const;
 
     DeploymentPlan m_plan;
--- a/Tests/StandIns/FabricMain.cpp
+++ b/Tests/StandIns/FabricMain.cpp
@@ -24,7 +24,7 @@
 ABSL_FLAG(std::string, listen, "", "UDP address for packets from targets to callers, a.b.c.d:port.");
 ABSL_FLAG(std::vector<std::string>, services, {}, "SERVICE_ADDRESS=LOOPBACK_ADDRESS pairs, each address a.b.c.d:port.");
 ABSL_FLAG(std::vector<std::string>, entries, {}, "Addresses of the entry daemons' fabric sockets.");
-ABSL_FLAG(int, operator_port, 0, "HTTP port on 127.0.0.1 for PUT /entries and PUT /faults.");
+ABSL_FLAG(int, operator_port, 0, "HTTP port on 127.0.0.1 for PUT /entries, PUT /faults and GET /listeners.");
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed for the choice of entry daemons and for the faults.");
 ABSL_FLAG(double, drop, 0, "Fraction of packets dropped.");
 ABSL_FLAG(double, duplicate, 0, "Fraction of packets sent twice.");
@@ -60,6 +60,7 @@
 
 struct Listener {
     FileDescriptor descriptor;
+    Endpoint loopback;
     Endpoint service;
 };
 
@@ -101,11 +102,20 @@
                 exitProcess(1);
             }
             m_poll.addReader(listener.value().get(), token);
-            m_listeners.emplace(token++, Listener {std::move(listener.value()), service.value()});
+            m_listeners.emplace(token++, Listener {std::move(listener.value()), loopback.value(), service.value()});
         }
         m_poll.addReader(m_packetSocket.descriptor(), PacketSocketToken);
     }
 
+    /// Returns the loopback addresses on which callers are accepted, one a line. Thread-safe after start(), which opens all of them.
+    [[nodiscard]] std::string listenerAddresses() const
+    {
+        std::string lines;
+        for (const auto &[token, listener] : m_listeners)
+            lines += toString(listener.loopback) + "\n";
+        return lines;
+    }
+
     [[noreturn]] void run()
     {
         while (true) {
@@ -232,6 +242,9 @@
         const auto number = [&](const char *key) { return std::strtod(request.get_param_value(key).c_str(), nullptr); };
         fabric.setFaults({number("drop"), number("duplicate"), number("delay")});
     });
+    server.Get("/listeners", [&](const httplib::Request &, httplib::Response &response) {
+        response.set_content(fabric.listenerAddresses(), "text/plain");
+    });
     server.listen("127.0.0.1", absl::GetFlag(FLAGS_operator_port));
 }
 
--- a/Tests/Whole/TestConnections.cpp
+++ b/Tests/Whole/TestConnections.cpp
@@ -44,7 +44,7 @@
 {
     startDeployment(3, 0);
     auto connections = openConnections(20);
-    m_deployment->addTarget(m_ledger, "ledger-4");
+    ASSERT_TRUE(m_deployment->addTarget(m_ledger, "ledger-4"));
     ASSERT_TRUE(Deployment::waitUntil([&] { return m_deployment->readOperatorEndpoint("ledger-4", "/readyz").has_value(); }, 20s));
     m_deployment->setVmState("ledger-1", VmState::Leaving);
     std::this_thread::sleep_for(LeavingTimeout);
