RelayAgent: Relay on after SIGTERM while the target serves open flows

Callers saw open flows reset with reason agent_unreachable while their server served. Cause: a stop was taken for a restart, since the target's end used to come first; after an outage of the store it does not. Change: the agent relays until its target's port is closed, it has no open flows, or one second is left before its process is killed (new setting stop_grace_s, from the platform's bound); then it announces the restart as before. The steps are a function without I/O (AgentStop).

--- a/Libraries/LibProtocol/RelaySettings.cpp
+++ b/Libraries/LibProtocol/RelaySettings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double MaximumLinkMegabits = 1'000'000;
+constexpr double MaximumStopGraceSeconds = 600;
 
 /// A lower limit would make the watch requests so short that the daemon in effect polls the platform.
 constexpr std::chrono::milliseconds MinimumStalenessLimit {2'000};
@@ -36,6 +37,7 @@
     reader.readRequired("target", settings.target);
     reader.readRequired("outbound", settings.outbound);
     readBoolean(reader, "first_start", settings.isFirstStart);
+    reader.read<double>("stop_grace_s", settings.stopGraceSeconds, 0, MaximumStopGraceSeconds);
 }
 
 } // namespace
--- a/Libraries/LibProtocol/RelaySettings.h
+++ b/Libraries/LibProtocol/RelaySettings.h
@@ -45,6 +45,8 @@
     Endpoint outbound;
     /// Target VM only: whether the whole system starts for the first time, in which case no flow is older than this process.
     bool isFirstStart = false;
+    /// Target VM only: time in seconds between the stop signal and the forced end of the process.
+    double stopGraceSeconds = 6;
 
     bool operator==(const RelaySettings &) const = default;
 };
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -21,10 +21,9 @@
 constexpr Duration TargetCheckTimeout {50};
 /// Minimum time between two connection attempts to a target that does not answer packets.
 constexpr Duration TargetCheckInterval {1'000};
-/// How often a stopping agent announces its restart, and the interval between the announcements. The agent relays packets meanwhile;
-/// after it no packets reach the target until the next agent has started.
-constexpr int RestartAnnouncements = 3;
-constexpr Duration AnnouncementInterval {30};
+/// A stopping agent ends this long before its process would be killed.
+constexpr Duration StopReserve {1'000};
+constexpr double MillisecondsPerSecond = 1'000;
 
 } // namespace
 
@@ -84,25 +83,35 @@
 
 void RelayAgentTask::onStop()
 {
-    // An agent stops either with its VM, after the target has exited, or to be restarted while the target keeps running. In the
-    // first case checkTarget() finds the target's port closed and reports it to the subscribed entry daemons. They then reset the
-    // target's flows immediately and do not wait for this agent when they search for the target of a flow. In the second case the
-    // entry daemons keep the flows until the next agent has started.
+    const auto grace = Duration(static_cast<Duration::rep>(m_settings.stopGraceSeconds * MillisecondsPerSecond));
+    m_stop.emplace();
+    m_stop->deadline = currentTime() + std::max<Duration>(grace - StopReserve, Duration(0));
+    m_stop->targetCheckedAt = currentTime();
+    // If the target's port is closed, the subscribed entry daemons are informed. They then reset the target's flows immediately and
+    // do not wait for this agent when they search for the target of a flow.
     checkTarget("stop");
-    if (m_relay.load.state == TargetState::Closed)
-        m_isStopped = true;
-    else
-        m_nextAnnouncementAt = currentTime();
 }
 
 void RelayAgentTask::continueStop()
 {
-    const auto now = currentTime();
-    if (!m_nextAnnouncementAt || now < *m_nextAnnouncementAt)
+    if (!m_stop)
+        return;
+    switch (nextStopStep(*m_stop, m_relay, currentTime())) {
+    case AgentStopStep::Relay:
+        return;
+    case AgentStopStep::CheckTarget:
+        checkTarget("stop");
         return;
-    announceRestart(m_relay, now, *this);
-    m_nextAnnouncementAt = now + AnnouncementInterval;
-    m_isStopped = ++m_announcementCount == RestartAnnouncements;
+    case AgentStopStep::AnnounceRestart:
+        announceRestart(m_relay, currentTime(), *this);
+        return;
+    case AgentStopStep::End:
+        EventLog("agent_ends")
+            .with("target", targetStateName(m_relay.load.state))
+            .with("flows", static_cast<std::uint64_t>(m_relay.load.openFlows));
+        m_isStopped = true;
+        return;
+    }
 }
 
 void RelayAgentTask::checkTarget(std::string_view cause)
--- a/Services/RelayAgent/RelayAgentTask.h
+++ b/Services/RelayAgent/RelayAgentTask.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibCoordination/AgentRelay.h"
+#include "LibCoordination/AgentStop.h"
 #include "LibProtocol/RelayCodec.h"
 #include "LibProtocol/RelaySettings.h"
 #include "LibState/Metrics.h"
@@ -37,7 +37,7 @@
 
     void drainMailbox();
     void onStop();
-    /// Announces the planned restart several times, since reports may be lost, and then ends the task.
+    /// Takes the next step of a graceful stop, if there is one.
     void continueStop();
     /// Tries to connect to the target's port. When the port is closed, the subscribed entry daemons are informed. `cause` is
     /// written to the log.
@@ -65,9 +65,8 @@
     std::array<std::byte, RelayDatagramSizeLimit> m_packetBuffer {};
     TimePoint m_targetCheckedAt;
     TargetState m_loggedState = TargetState::Answering;
-    /// When the planned restart is announced next; nothing while the agent is not stopping.
-    std::optional<TimePoint> m_nextAnnouncementAt;
-    int m_announcementCount = 0;
+    /// The graceful stop; nothing while the agent is not stopping.
+    std::optional<AgentStop> m_stop;
     bool m_isStopped = false;
 };
 
--- a/Tests/LibProtocol/TestRelaySettings.cpp
+++ b/Tests/LibProtocol/TestRelaySettings.cpp
@@ -35,6 +35,9 @@
     EXPECT_TRUE(failures.empty());
     EXPECT_EQ(settings.service, "ledger");
     EXPECT_TRUE(settings.isFirstStart);
+    EXPECT_EQ(settings.stopGraceSeconds, 6);
+    EXPECT_EQ(readRelaySettings(AgentText + "stop_grace_s = 2.5\n", RelayRole::Agent, failures).stopGraceSeconds, 2.5);
+    EXPECT_EQ(failuresOf(AgentText + "stop_grace_s = -1\n", RelayRole::Agent).size(), 1U);
 }
 
 TEST(RelaySettings, ReportsLineAndKeyOfEachFailure)
