LibCoordination: Wait for expired entries after the first list of targets

What callers saw: an entry daemon that was restarted within two seconds after a store's outage or restore reset open flows with reason held_by_nobody while their target served. Cause: the target's entry had expired meanwhile and was not listed again yet, so the list that the new daemon read first lacked it, and all agents in that list denied the flow. Running daemons are not affected: they keep withdrawn targets and ask their agents. Change: for 2.5 s after its first list from the platform a daemon resets no flow because nobody holds it; agents of targets that are listed in that time are asked at once. The time is the one after which the store's task lets a withdrawal take effect. Evidence, before: TestEntrySearch.cpp:66 (DeniedFlowIsNotResetWhileExpiredEntriesMayBeMissing): m_output.resets.empty() is false, expected true. Cost: after a power loss of the whole system callers of lost flows wait up to 2.5 s from the first list instead of 0.3 s. Fixture: its daemon first read the platform a minute ago, which its tests always meant.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -499,6 +499,8 @@
 void markTargetsCurrent(EntryRelay &entry, TimePoint asOf)
 {
     entry.targetsCurrentAsOf = std::max(entry.targetsCurrentAsOf, asOf);
+    if (!entry.firstTargetListAsOf)
+        entry.firstTargetListAsOf = asOf;
 }
 
 bool setRoutes(EntryRelay &entry, RouteTable routes, TimePoint now)
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -48,6 +48,9 @@
     /// idempotent and the platform was read at least once, the flow is reset after this time even without a current list:
     /// waiting longer for a slow platform costs the caller more than opening another flow.
     Duration maximumResetDelay {300};
+    /// Targets whose entries expired while the platform was unavailable are listed again within this time of its return. A daemon that
+    /// has just started does not know when the platform returned, so its first list may lack them for this long.
+    Duration relistingTime {2'500};
     /// Maximum lifetime of a flow. For this long after its start an entry daemon may have missed services that a route had
     /// earlier and whose flows are still open.
     Duration maximumFlowAge {62'000};
@@ -147,6 +150,8 @@
     bool hasTargetList = false;
     /// The directory holds every target that the platform listed up to this time; zero before the platform itself was read.
     TimePoint targetsCurrentAsOf;
+    /// The time up to which the first list that was read from the platform is complete; nothing before it.
+    std::optional<TimePoint> firstTargetListAsOf;
     /// Start of the current watch on the platform, which has reported nothing so far; nothing while no watch is open.
     std::optional<TimePoint> watchStartedAt;
     /// Flows that the agents of all targets in the directory denied. They are reset only when the list of targets is current,
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -88,12 +88,12 @@
 /// Returns whether the list of targets is sufficient to reset a flow that no target in the directory is known to hold.
 bool isTargetListSufficient(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow, TimePoint now)
 {
+    if (mayListLackTargets(entry, now))
+        return false;
     if (areTargetsCurrentAsOf(entry, requiredTargetListTime(entry, key, flow), now))
         return true;
-    // A list from another entry daemon may lack targets, so no flow is reset before the platform itself was read.
-    const bool hasPlatformList = entry.targetsCurrentAsOf != TimePoint {};
     const bool hasDelayElapsed = now - flow.searchStartedAt >= entry.limits.maximumResetDelay;
-    return hasPlatformList && hasDelayElapsed && isIdempotent(entry, key);
+    return hasDelayElapsed && isIdempotent(entry, key);
 }
 
 /// Returns whether every agent that has not answered is unreachable and may be disregarded; true if all have answered.
@@ -339,6 +339,11 @@
     return record != nullptr && isUnreachable(entry.directory, *record);
 }
 
+bool mayListLackTargets(const EntryRelay &entry, TimePoint now)
+{
+    return !entry.firstTargetListAsOf || now - *entry.firstTargetListAsOf < entry.limits.relistingTime;
+}
+
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output)
 {
     for (const auto &key : std::exchange(entry.pendingResets, {})) {
--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -60,7 +60,8 @@
         else if (flow.stage == EntryFlowStage::Open && checkOpenFlow(entry, key, flow, now, output))
             entry.flows.erase(current);
     }
-    retryPendingResets(entry, now, output);
+    if (!mayListLackTargets(entry, now))
+        retryPendingResets(entry, now, output);
     sendQueries(entry, now, output);
     removeIdleBatches(entry.queries, now);
     removeWithdrawn(entry.directory, now);
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -109,6 +109,8 @@
         ASSERT_TRUE(setRoutes(m_entry, routes, Start));
         m_entry.hasTargetList = true;
         m_entry.watchStartedAt = Start;
+        // The daemon first read the platform long ago.
+        markTargetsCurrent(m_entry, at(-60'000));
         markTargetsCurrent(m_entry, Start);
     }
 
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -50,6 +50,34 @@
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
 }
 
+// Failure: after a restart of the store the list that a new entry daemon reads first lacks a serving target, and its flows are reset.
+TEST_F(EntrySearchTest, DeniedFlowIsNotResetWhileExpiredEntriesMayBeMissing)
+{
+    for (const bool isListedAgain : {false, true}) {
+        m_entry = EntryRelay {};
+        SetUp();
+        m_output = Recorder {};
+        m_entry.firstTargetListAsOf = Start;
+        m_entry.routes.routes[ServiceAddress].isIdempotent = true;
+        publish(makeTarget(1));
+        receive(makeData(501), 500);
+        notify(1, NoticeKind::Denied, 502);
+        tickUntil(600, 1'900);
+        EXPECT_TRUE(m_output.resets.empty());
+        if (isListedAgain) {
+            publish(makeTarget(2), 1'950);
+            markTargetsCurrent(m_entry, at(1'940));
+            retryPendingResets(m_entry, at(1'950), m_output);
+            EXPECT_EQ(lastAgent(), 2U);
+            notify(2, NoticeKind::Held, 1'952);
+        }
+        tickUntil(2'000, 2'400);
+        EXPECT_TRUE(m_output.resets.empty());
+        tickUntil(2'500, 3'000);
+        EXPECT_EQ(m_output.resets.size(), isListedAgain ? 0U : 1U);
+    }
+}
+
 TEST_F(EntrySearchTest, TargetListedAfterAllDenialsIsAsked)
 {
     publish(makeTarget(1));
--- a/Tests/LibCoordination/TestRelayKnowledge.cpp
+++ b/Tests/LibCoordination/TestRelayKnowledge.cpp
@@ -117,7 +117,9 @@
     tickUntil(100, 6'000);
     EXPECT_EQ(m_output.resets, 0);
     markTargetsCurrent(m_uninitialized, Start + Duration(6'000));
-    tickUntil(6'100, 6'500);
+    tickUntil(6'100, 8'400);
+    EXPECT_EQ(m_output.resets, 0);
+    tickUntil(8'500, 8'700);
     EXPECT_EQ(m_output.resets, 1);
 }
 
