--- a/Libraries/LibEmulator/EmulatedTarget.cpp
+++ b/Libraries/LibEmulator/EmulatedTarget.cpp
@@ -67,6 +67,7 @@
         flow->second = {};
         flow->second.sequence = static_cast<std::uint32_t>(m_random());
         flow->second.callerSequence = packet.summary.sequence;
+        flow->second.expectedSequence = packet.summary.sequence;
     }
     EmulatedPacket reply;
     reply.summary.flow = key;
@@ -83,11 +84,13 @@
         flow.isAnswerAcknowledged = flow.answer.has_value();
         return;
     }
-    if (packet.request == flow.request) {
-        if (flow.answer)
+    const bool isOld = packet.summary.sequence != flow.expectedSequence;
+    if (isOld) {
+        if (packet.request == flow.request && flow.answer)
             send(*flow.answer);
         return;
     }
+    flow.expectedSequence += packet.summary.length;
     flow.request = packet.request;
     flow.answer.reset();
     flow.isAnswerAcknowledged = false;
--- a/Libraries/LibEmulator/EmulatedTarget.h
+++ b/Libraries/LibEmulator/EmulatedTarget.h
@@ -67,6 +67,8 @@
         std::uint32_t sequence = 0;
         /// The sequence number of the caller's SYN.
         std::uint32_t callerSequence = 0;
+        /// The sequence number of the caller's next data.
+        std::uint32_t expectedSequence = 0;
         bool isOpen = false;
         std::uint64_t request = 0;
         std::optional<EmulatedPacket> answer;
--- a/Libraries/LibEmulator/RandomDisruptions.cpp
+++ b/Libraries/LibEmulator/RandomDisruptions.cpp
@@ -20,7 +20,7 @@
                                      std::vector<DisruptionKind> kinds,
                                      std::vector<Route> routes)
     : m_simulation(simulation)
-    , m_random(seed)
+    , m_seed(seed)
     , m_kinds(std::move(kinds))
     , m_routes(std::move(routes))
 {
@@ -29,6 +29,8 @@
 void RandomDisruptions::schedule(Duration duration)
 {
     for (const auto kind : m_kinds) {
+        // Each kind has random numbers of its own, so that a failure can be reproduced with fewer kinds.
+        m_random.seed(m_seed * DisruptionKindCount + static_cast<std::uint64_t>(kind));
         if (!chance(0.4))
             continue;
         const auto count = std::uniform_int_distribution<int>(1, 3)(m_random);
@@ -59,9 +61,8 @@
     case DisruptionKind::ReleaseTargets:
         return releaseTargets(at);
     case DisruptionKind::StopStore:
-        return disturbStore(at, false);
     case DisruptionKind::RestoreStore:
-        return disturbStore(at, true);
+        return stopStore(at, kind);
     case DisruptionKind::ChangeRoutes:
         return changeRoutes(at);
     case DisruptionKind::LoseDatagrams:
@@ -204,15 +205,26 @@
     });
 }
 
-void RandomDisruptions::disturbStore(Duration at, bool isRestored)
+void RandomDisruptions::stopStore(Duration at, DisruptionKind kind)
 {
     m_simulation.schedule(at, [this] {
         m_simulation.recordEventForAll("store", "unreachable");
         m_simulation.setStoreReachable(false);
     });
+    const auto returnsAt = at + between(500, 4'000);
+    if (chance(0.5)) {
+        for (const auto target : choose(m_simulation.targetCount(), 0.2, 1)) {
+            const auto lapsesAt = returnsAt - between(1, 300);
+            const auto absence = returnsAt - lapsesAt + between(0, 1'900);
+            m_simulation.schedule(lapsesAt, [this, target, absence] {
+                if (m_simulation.target(target).isUp())
+                    m_simulation.withdrawTemporarily(target, absence);
+            });
+        }
+    }
     const auto age = between(1'000, 12'000);
-    m_simulation.schedule(at + between(500, 4'000), [this, isRestored, age] {
-        if (isRestored)
+    m_simulation.schedule(returnsAt, [this, kind, age] {
+        if (kind == DisruptionKind::RestoreStore)
             m_simulation.restoreStore(age);
         m_simulation.recordEventForAll("store", "reachable");
         m_simulation.setStoreReachable(true);
--- a/Libraries/LibEmulator/RandomDisruptions.h
+++ b/Libraries/LibEmulator/RandomDisruptions.h
@@ -21,13 +21,14 @@
     /// Daemons are short of processor time, but less than the threshold at which entry daemons detect a pause.
     SlowEntries,
     SlowAgents,
-    /// Entries of targets that serve on lapse in the store and are written again.
+    /// Entries of targets that serve on lapse in the store and are written again up to five seconds later. The platform's
+    /// documentation allows this for two seconds after an outage only, so this kind is not among the default ones.
     WithdrawTargets,
     /// Targets drain, end, and are replaced at the same address by targets of the same or another service.
     ReleaseTargets,
-    /// The store is unreachable.
+    /// The store is unreachable, and entries lapse meanwhile. They are written again within two seconds of its return.
     StopStore,
-    /// The store is unreachable, and then restored from an earlier copy.
+    /// The same, and the store is restored from an earlier copy.
     RestoreStore,
     ChangeRoutes,
     /// A few datagrams are lost.
@@ -61,7 +62,7 @@
     void withdrawTargets(Duration at);
     void releaseTargets(Duration at);
     void releaseTarget(std::size_t index, Duration at);
-    void disturbStore(Duration at, bool isRestored);
+    void stopStore(Duration at, DisruptionKind kind);
     void changeRoutes(Duration at);
     void loseDatagrams(Duration at);
     void crashTargets(Duration at);
@@ -72,6 +73,7 @@
     [[nodiscard]] std::vector<std::size_t> choose(std::size_t count, double minimum, double maximum);
 
     RelaySimulation &m_simulation;
+    std::uint64_t m_seed;
     std::mt19937_64 m_random;
     std::vector<DisruptionKind> m_kinds;
     std::vector<Route> m_routes;
--- a/Tests/LibEmulator/TestRandomDisruptions.cpp
+++ b/Tests/LibEmulator/TestRandomDisruptions.cpp
@@ -37,7 +37,8 @@
     return seeds;
 }
 
-/// Returns the kinds of disruptions whose numbers the environment variable PAPAYA_EMULATOR_KINDS lists, or all.
+/// Returns the kinds of disruptions whose numbers the environment variable PAPAYA_EMULATOR_KINDS lists, or the
+/// default ones.
 std::vector<DisruptionKind> kindsFromEnvironment()
 {
     std::vector<DisruptionKind> kinds;
@@ -47,8 +48,10 @@
             kinds.push_back(static_cast<DisruptionKind>(kind));
         return kinds;
     }
-    for (std::size_t kind = 0; kind < DisruptionKindCount; ++kind)
-        kinds.push_back(static_cast<DisruptionKind>(kind));
+    for (std::size_t kind = 0; kind < DisruptionKindCount; ++kind) {
+        if (static_cast<DisruptionKind>(kind) != DisruptionKind::WithdrawTargets)
+            kinds.push_back(static_cast<DisruptionKind>(kind));
+    }
     return kinds;
 }
 
