--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -11,6 +11,8 @@
 
 bool mayDenyUnknownFlows(const AgentRelay &agent, TimePoint now)
 {
+    if (agent.tableFullAt && now - *agent.tableFullAt < agent.limits.maximumFlowAge)
+        return false;
     return agent.hasCompleteFlowTable || now - agent.startedAt >= agent.limits.maximumFlowAge;
 }
 
@@ -49,13 +51,15 @@
 }
 
 /// Returns the entry of a flow and creates it if necessary. Returns nothing when the table is full.
-AgentFlow *findOrCreateFlow(AgentRelay &agent, const FlowKey &key)
+AgentFlow *findOrCreateFlow(AgentRelay &agent, const FlowKey &key, TimePoint now)
 {
     const auto existing = agent.flows.find(key);
     if (existing != agent.flows.end())
         return &existing->second;
-    if (agent.flows.size() >= agent.limits.flows)
+    if (agent.flows.size() >= agent.limits.flows) {
+        agent.tableFullAt = now;
         return nullptr;
+    }
     return &agent.flows[key];
 }
 
@@ -71,12 +75,20 @@
 {
     if (!agent.unansweredSynSince)
         agent.unansweredSynSince = now;
-    if (auto *flow = findOrCreateFlow(agent, summary.flow)) {
+    if (auto *flow = findOrCreateFlow(agent, summary.flow, now)) {
         flow->entry = entry;
         flow->lastSeenAt = now;
     }
 }
 
+/// Returns whether the target holds the flow open once it gets this packet from the caller. The first packet that opens the flow
+/// acknowledges the target's SYN-ACK: the target sends nothing else before. A caller that opened the flow at another target
+/// acknowledges that target's SYN-ACK instead.
+bool isOpenedBy(const AgentFlow &flow, const PacketSummary &summary)
+{
+    return flow.isOpen || (flow.sequence && summary.acknowledgement == *flow.sequence + 1);
+}
+
 void updateFromCaller(AgentRelay &agent, const Endpoint &entry, const PacketSummary &summary, TimePoint now)
 {
     if (summary.isInitialSyn()) {
@@ -89,10 +101,13 @@
     auto &flow = existing->second;
     flow.entry = entry;
     flow.lastSeenAt = now;
+    // The target decides whether it accepts the reset. The entry stays for a while, so that the flow is not denied without a probe.
     if (summary.isReset) {
-        removeFlow(agent, summary.flow);
+        closeFlow(agent, flow);
         return;
     }
+    if (!isOpenedBy(flow, summary))
+        return;
     openFlow(agent, flow);
     flow.isCallerFinished = flow.isCallerFinished || summary.isFin;
     if (summary.length == 0 || flow.requestStartedAt)
@@ -172,7 +187,11 @@
         agent.probes.erase(probe);
         return;
     }
-    removeFlow(agent, summary.flow);
+    // A late copy of a SYN may be returned although the target holds the flow that an earlier copy opened.
+    const auto flow = agent.flows.find(summary.flow);
+    const bool isLateSyn = summary.isInitialSyn() && flow != agent.flows.end() && flow->second.isOpen;
+    if (!isLateSyn)
+        removeFlow(agent, summary.flow);
     auto notice = makeNotice(agent, NoticeKind::Returned, summary.flow);
     notice.packet = packet;
     const Endpoint entry {summary.mark, agent.daemonPort};
@@ -308,7 +327,7 @@
         removeFlow(agent, summary.flow);
         return;
     }
-    auto *flow = findOrCreateFlow(agent, summary.flow);
+    auto *flow = findOrCreateFlow(agent, summary.flow, now);
     if (flow != nullptr)
         updateFromTarget(agent, summary, *flow, now);
     if (const auto probe = agent.probes.find(summary.flow); probe != agent.probes.end()) {
--- a/Libraries/LibCoordination/AgentRelay.h
+++ b/Libraries/LibCoordination/AgentRelay.h
@@ -53,6 +53,8 @@
     TimePoint lastSeenAt;
     /// Start of the request whose answer has not begun; nothing while no request runs.
     std::optional<TimePoint> requestStartedAt;
+    /// Whether the target holds the flow open: the caller has acknowledged the target's SYN-ACK, or the target has sent packets
+    /// other than a SYN-ACK.
     bool isOpen = false;
     bool isCallerFinished = false;
     bool isTargetFinished = false;
@@ -86,6 +88,8 @@
     /// the target or together with it, or after the target's port was closed. Without this flag the same holds once the agent has
     /// run for `maximumFlowAge`.
     bool hasCompleteFlowTable = false;
+    /// When a flow was last left out because the table was full; nothing if that never happened.
+    std::optional<TimePoint> tableFullAt;
     std::unordered_map<FlowKey, AgentFlow> flows;
     std::unordered_map<FlowKey, FlowProbe> probes;
     std::unordered_map<Endpoint, ReportSubscription> subscriptions;
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -94,7 +94,8 @@
     const bool hasPlatformList = entry.targetsCurrentAsOf != TimePoint {};
     const bool hasDelayElapsed = now - flow.searchStartedAt >= entry.limits.maximumResetDelay;
     if (isCurrent || (hasPlatformList && hasDelayElapsed && isIdempotent(entry, key))) {
-        resetFlow(key, flow, RelayReason::HeldByNobody, flow.acknowledged, now, output);
+        const auto reason = flow.evidence == FlowEvidence::Assumed ? RelayReason::HeldByNobody : RelayReason::LostAtTarget;
+        resetFlow(key, flow, reason, flow.acknowledged, now, output);
         return;
     }
     entry.pendingResets.push_back(key);
@@ -242,7 +243,7 @@
     flow.stage = EntryFlowStage::Open;
     flow.agent = agent;
     flow.service = service;
-    flow.isConfirmed = true;
+    flow.evidence = FlowEvidence::Held;
     flow.changedAt = now;
     flow.candidates.clear();
     flow.deniedBy.clear();
@@ -338,15 +339,23 @@
     }
 }
 
+bool endFlowAtTarget(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output)
+{
+    if (flow.evidence == FlowEvidence::Assumed)
+        return true;
+    resetFlow(key, flow, reason, flow.acknowledged, now, output);
+    return false;
+}
+
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output)
 {
+    output.recordDecision(key, reason, flow.agent);
     flow.stage = EntryFlowStage::Ended;
     flow.changedAt = now;
     flow.lastSeenAt = now;
     flow.candidates.clear();
     flow.deniedBy.clear();
     flow.bufferedPackets.clear();
-    output.recordDecision(key, reason, flow.agent);
     output.resetCaller(key, sequence);
 }
 
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -72,7 +72,22 @@
     notify(first, NoticeKind::Accepted, 215, {}, 500);
     receive(makeData(501), 220);
     EXPECT_EQ(lastAgent(), first);
-    EXPECT_TRUE(m_entry.flows.at(Flow).isConfirmed);
+    EXPECT_EQ(m_entry.flows.at(Flow).evidence, FlowEvidence::Handshake);
+}
+
+// A late copy of a SYN opened a second handshake. The packets of the flow, which is open elsewhere, must not go to that target.
+TEST_F(EntryRelayTest, PacketOfAnotherHandshakeIsSearchedFor)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    notify(first, NoticeKind::Accepted, 2'002, {}, 500);
+    m_output.sent.clear();
+    receive(makeData(901), 2'004);
+    EXPECT_TRUE(m_output.hasRecorded(RelayReason::SearchStarted));
+    EXPECT_TRUE(
+        std::all_of(m_output.sent.begin(), m_output.sent.end(), [](const auto &sent) { return sent.purpose == EnvelopePurpose::Search; }));
 }
 
 TEST_F(EntryRelayTest, ReturnedSynGoesToNextTargetAndIsResetAfterLast)
@@ -104,13 +119,56 @@
 }
 
 TEST_F(EntryRelayTest, ConfirmedFlowIsResetWhenTargetReturnsPacket)
+{
+    publish(makeTarget(1));
+    receive(makeSyn(), 2'000);
+    notify(1, NoticeKind::Accepted, 2'002, {}, 500);
+    receive(makeData(501), 2'004);
+    notify(1, NoticeKind::Returned, 2'006, makeData(501));
+    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    EXPECT_TRUE(m_output.hasRecorded(RelayReason::LostAtTarget));
+}
+
+// An open flow was reset because one target returned one of its packets, although another target held the flow.
+TEST_F(EntryRelayTest, ReturnedPacketOfConfirmedFlowStartsSearchAtOtherTargets)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    const auto second = 3 - first;
+    notify(first, NoticeKind::Accepted, 2'002, {}, 500);
+    receive(makeData(501), 2'004);
+    notify(first, NoticeKind::Returned, 2'006, makeData(501));
+    EXPECT_TRUE(m_output.resets.empty());
+    notify(second, NoticeKind::Held, 2'008);
+    receive(makeData(502), 2'100);
+    EXPECT_EQ(lastAgent(), second);
+    EXPECT_TRUE(m_output.resets.empty());
+}
+
+// An open flow was reset because a SYN-ACK that the caller never acknowledged confirmed the flow at the wrong target: the entry
+// daemon had placed a late copy of the SYN there while the flow was open at another target.
+TEST_F(EntryRelayTest, SynAckOfAnotherHandshakeDoesNotConfirmFlow)
 {
     publish(makeTarget(1));
     receive(makeSyn(), 0);
+    receive(makeData(901), 1);
     notify(1, NoticeKind::Accepted, 2, {}, 500);
-    receive(makeData(501), 4);
-    notify(1, NoticeKind::Returned, 6, makeData(501));
-    EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
+    EXPECT_EQ(m_entry.flows.at(Flow).evidence, FlowEvidence::Assumed);
+    notify(1, NoticeKind::Returned, 3, makeData(901));
+    EXPECT_TRUE(m_output.resets.empty());
+    EXPECT_FALSE(m_output.hasRecorded(RelayReason::LostAtTarget));
+}
+
+// The SYN-ACK that the caller acknowledged is reported after the caller's next packet has arrived.
+TEST_F(EntryRelayTest, LateSynAckOfTheSameHandshakeConfirmsFlow)
+{
+    publish(makeTarget(1));
+    receive(makeSyn(), 0);
+    receive(makeData(501), 1);
+    notify(1, NoticeKind::Accepted, 2, {}, 500);
+    EXPECT_EQ(m_entry.flows.at(Flow).evidence, FlowEvidence::LateSynAck);
 }
 
 TEST_F(EntryRelayTest, RetransmittingFlowIsResetWhenAgentIsUnreachable)
@@ -158,6 +216,40 @@
     EXPECT_TRUE(m_output.hasRecorded(RelayReason::TargetGone));
 }
 
+// A flow that this entry daemon only assumed at a target was reset when that target terminated, although another target held it.
+TEST_F(EntryRelayTest, AssumedFlowIsSearchedForWhenTargetTerminates)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    receive(makeData(901), 2'004);
+    RelayReport closed {hashOf("ledger"), {}};
+    closed.load.state = TargetState::Closed;
+    onReport(m_entry, agentOf(first), closed, at(2'100), m_output);
+    EXPECT_TRUE(m_output.resets.empty());
+    receive(makeData(901), 2'200);
+    notify(3 - first, NoticeKind::Held, 2'202);
+    EXPECT_EQ(m_entry.flows.at(Flow).agent, agentOf(3 - first));
+    EXPECT_TRUE(m_output.resets.empty());
+}
+
+// The same when the agent of the assumed target denies the flow after a replacement of the target.
+TEST_F(EntryRelayTest, AssumedFlowIsSearchedForWhenReplacingTargetDeniesIt)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeSyn(), 2'000);
+    const auto first = lastAgent();
+    receive(makeData(901), 2'004);
+    auto next = makeTarget(first);
+    next.incarnation = 2;
+    publish(next, 2'100);
+    answer(agentOf(first), FlowVerdict::Denied, 2'102);
+    EXPECT_TRUE(m_output.resets.empty());
+    EXPECT_FALSE(m_entry.flows.contains(Flow));
+}
+
 TEST_F(EntryRelayTest, FlowIsKeptWhenReplacingTargetHoldsIt)
 {
     // After a restart of the whole system a target accepts flows before the platform's list with its new incarnation is read
