--- a/Libraries/LibEmulator/EmulatedAgent.cpp
+++ b/Libraries/LibEmulator/EmulatedAgent.cpp
@@ -119,8 +119,8 @@
     copy.summary.mark = mark;
     if (m_target->isUp()) {
         const bool isNew = !m_target->holds(copy.summary.flow);
-        if (isNew)
-            m_network.recordEvent(m_target->options().name, copy.summary.flow, "target gets " + describe(copy.summary));
+        m_network.recordEvent(
+            m_target->options().name, copy.summary.flow, (isNew ? "other target gets " : "own target gets ") + describe(copy.summary));
         m_target->receive(copy);
         if (isNew && m_target->holds(copy.summary.flow)) {
             m_network.recordEvent(m_target->options().name, copy.summary.flow, "flow open at target");
--- a/Libraries/LibEmulator/EmulatedTarget.cpp
+++ b/Libraries/LibEmulator/EmulatedTarget.cpp
@@ -145,8 +145,8 @@
 void EmulatedTarget::retransmitAnswer(const FlowKey &key, std::uint64_t request, int attempt, std::uint64_t targetRun)
 {
     const auto flow = m_flows.find(key);
-    const bool isOver = targetRun != m_run || flow == m_flows.end() || flow->second.request != request
-                        || flow->second.isAnswerAcknowledged || attempt > MaximumRetransmissions;
+    const bool isOver = targetRun != m_run || flow == m_flows.end() || flow->second.request != request || flow->second.isAnswerAcknowledged
+                        || attempt > MaximumRetransmissions;
     if (isOver)
         return;
     send(*flow->second.answer);
--- a/Libraries/LibEmulator/FlowRuleMonitor.cpp
+++ b/Libraries/LibEmulator/FlowRuleMonitor.cpp
@@ -15,9 +15,9 @@
 {
 }
 
-void FlowRuleMonitor::recordOpened(const FlowKey &flow, std::uint32_t target, TimePoint now)
+void FlowRuleMonitor::recordOpened(const FlowKey &flow, std::uint32_t target)
 {
-    m_owners[flow] = {target, now, {}};
+    m_owners[flow] = {target, {}};
 }
 
 void FlowRuleMonitor::recordPacket(const FlowKey &flow, std::uint32_t entry, std::uint32_t target, TimePoint now)
@@ -32,7 +32,6 @@
     }
     if (owner.target == target) {
         evaluate(flow, owner, now);
-        owner.lastPacketAt = now;
         owner.strays.clear();
         return;
     }
@@ -68,10 +67,9 @@
 
 void FlowRuleMonitor::evaluate(const FlowKey &flow, Owner &owner, TimePoint now)
 {
-    if (now - owner.lastPacketAt < StrayWindow)
-        return;
     for (std::size_t last = StrayLimit - 1; last < owner.strays.size(); ++last) {
-        if (owner.strays[last] - owner.strays[last - (StrayLimit - 1)] > StrayWindow)
+        const auto first = owner.strays[last - (StrayLimit - 1)];
+        if (owner.strays[last] - first > StrayWindow || now - first < StrayWindow)
             continue;
         m_misdirectedFlows.push_back(flow);
         return;
--- a/Libraries/LibEmulator/FlowRuleMonitor.h
+++ b/Libraries/LibEmulator/FlowRuleMonitor.h
@@ -10,7 +10,8 @@
 namespace Papaya::Emulator {
 
 /// Checks the rule on open flows, as callers and targets see it. An open flow whose target serves is broken (a) by a reset that its
-/// target did not send, or (b) if for two seconds three or more of its packets reach other targets and none its own.
+/// target did not send, or (b) if for two seconds three or more of its packets reach other targets and none its own. The two
+/// seconds begin with a packet that reaches another target, so that the silence of an idle flow does not count.
 ///
 /// A break is excused if an unplanned disruption of the VM that sent the reset or the packets, or of the target's VM, lasts or ended
 /// less than four seconds ago. Planned restarts excuse nothing.
@@ -23,7 +24,7 @@
     explicit FlowRuleMonitor(IsHeld isHeld);
 
     /// Records that a flow has opened at a target.
-    void recordOpened(const FlowKey &flow, std::uint32_t target, TimePoint now);
+    void recordOpened(const FlowKey &flow, std::uint32_t target);
     /// Records a packet of a caller that an entry daemon sent and a target received.
     void recordPacket(const FlowKey &flow, std::uint32_t entry, std::uint32_t target, TimePoint now);
     /// Records that the caller received a reset from an entry daemon. Returns whether the flow's target holds the flow.
@@ -45,8 +46,7 @@
 private:
     struct Owner {
         std::uint32_t target = 0;
-        TimePoint lastPacketAt;
-        /// When packets reached other targets since then.
+        /// When packets reached other targets since the last one that reached this target.
         std::vector<TimePoint> strays;
     };
     struct Disruption {
--- a/Libraries/LibEmulator/RandomDisruptions.cpp
+++ b/Libraries/LibEmulator/RandomDisruptions.cpp
@@ -217,7 +217,7 @@
             const auto lapsesAt = returnsAt - between(1, 300);
             const auto absence = returnsAt - lapsesAt + between(0, 1'900);
             m_simulation.schedule(lapsesAt, [this, target, absence] {
-                if (m_simulation.target(target).isUp())
+                if (m_simulation.target(target).isUp() && !m_simulation.isStoreReachable())
                     m_simulation.withdrawTemporarily(target, absence);
             });
         }
--- a/Libraries/LibEmulator/RelaySimulation.cpp
+++ b/Libraries/LibEmulator/RelaySimulation.cpp
@@ -47,9 +47,7 @@
         m_events,
         m_random(),
         m_options.kinds,
-        [this](const EmulatedPacket &packet) {
-            transmit(m_options.network.callerDelay, [this, packet] { m_fabric.deliver(packet); });
-        },
+        [this](const EmulatedPacket &packet) { transmit(m_options.network.callerDelay, [this, packet] { m_fabric.deliver(packet); }); },
         [this](const EmulatedPacket &reset) { return onCallerReset(reset); });
     publishRoutes(m_options.routes);
     for (const auto &target : m_options.targets)
@@ -147,7 +145,7 @@
 
 void RelaySimulation::recordOpened(const Endpoint &agent, const FlowKey &flow)
 {
-    m_flowRule.recordOpened(flow, agent.address, m_events.now());
+    m_flowRule.recordOpened(flow, agent.address);
 }
 
 bool RelaySimulation::onCallerReset(const EmulatedPacket &reset)
@@ -165,13 +163,15 @@
 
 std::string RelaySimulation::brokenFlowEvents() const
 {
-    auto flows = m_flowRule.resetFlows();
-    flows.insert(flows.end(), m_flowRule.misdirectedFlows().begin(), m_flowRule.misdirectedFlows().end());
-    if (flows.empty())
-        flows = m_callers->brokenFlowKeys();
     std::string text;
-    for (std::size_t index = 0; index < std::min(flows.size(), MaximumTables); ++index)
-        text += m_journal.table(flows[index]);
+    const auto append = [&](const std::string &title, const std::vector<FlowKey> &flows) {
+        for (std::size_t index = 0; index < std::min(flows.size(), MaximumTables); ++index)
+            text += title + m_journal.table(flows[index]);
+    };
+    append("reset: ", m_flowRule.resetFlows());
+    append("misdirected: ", m_flowRule.misdirectedFlows());
+    if (text.empty())
+        append("reset, but excused: ", m_callers->brokenFlowKeys());
     return text;
 }
 
--- a/Libraries/LibEmulator/RelaySimulation.h
+++ b/Libraries/LibEmulator/RelaySimulation.h
@@ -95,6 +95,7 @@
     std::size_t addTarget(const TargetOptions &options);
     /// Removes the entry of a target that serves on from the store, and writes it again after `absence`.
     void withdrawTemporarily(std::size_t index, Duration absence);
+    [[nodiscard]] bool isStoreReachable() const { return m_store.isReachable(); }
     void setStoreReachable(bool isReachable) { m_store.setReachable(isReachable); }
     /// Restores the store from its contents of a while ago. The targets that serve write their entries again within two seconds,
     /// and the entries of others expire some seconds later.
