--- a/Libraries/LibEmulator/EmulatedEntry.cpp
+++ b/Libraries/LibEmulator/EmulatedEntry.cpp
@@ -178,6 +178,8 @@
 void EmulatedEntry::onIteration()
 {
     const auto now = m_events.now();
+    if (!m_process.hasUnread(ProcessSocket::Daemon))
+        markAgentMessagesRead(m_relay, now);
     if (now - m_tickedAt >= TickInterval) {
         m_tickedAt = now;
         onEntryTick(m_relay, now, *this);
--- a/Libraries/LibState/RelayMessages.h
+++ b/Libraries/LibState/RelayMessages.h
@@ -64,6 +64,9 @@
     Silent,
     /// The target's port is closed: no process listens there, and the flows of the previous one are lost.
     Closed,
+    /// The target's agent is being restarted as planned. The target keeps its flows, but no packets reach it until the next agent has
+    /// started. Older versions read this state as `Silent`.
+    AgentRestarting,
 };
 
 /// The load of one target, as measured by its agent.
@@ -125,4 +128,7 @@
 /// Returns the stable name of a notice for logs.
 [[nodiscard]] std::string_view noticeKindName(NoticeKind kind);
 
+/// Returns the stable name of a target's state for logs.
+[[nodiscard]] std::string_view targetStateName(TargetState state);
+
 } // namespace Papaya
