RelaySoak: Restart daemons during freezes while callers open flows

Cause of the gap: the soak opened no flows during faults, froze one entry daemon for 2.5 s at most, never restarted an agent as planned, drained no target, and repeated a SYN without the count of copies; a reset was allowed for every flow while any agent was unavailable. Change: a second suite, RelayReleaseSoak, with a series of planned restarts of all daemons, a freeze of half of the entry daemons while callers open flows, a draining target of each service, busy threads, and faults of the store and the network, all from the seed. Callers send copies of a SYN after 200 and 600 ms, give up after 1.4 s, and number their packets as a stream does. Resets are allowed only for flows whose own target's agent was killed or paused. The soak accepts connections at the targets' addresses: an agent that stops would report its target as exited otherwise. Planned restarts no longer delay other faults. mayBreakFlows(), which nothing used, is removed. Seeds 1 and 2 of the first suite are still to be run with the changed callers.

--- a/Tests/RelaySoak/SoakCallers.cpp
+++ b/Tests/RelaySoak/SoakCallers.cpp
@@ -16,6 +16,10 @@
 
 constexpr std::uint32_t CallerHost = 0x7f000305;
 constexpr Duration InitialRetransmissionInterval {200};
+/// Copies of a SYN are sent 200 and 600 ms after it. An attempt without a SYN-ACK ends after 1.4 s.
+constexpr std::uint32_t SynCopies = 2;
+constexpr Duration OpeningInterval {30};
+constexpr Duration PauseOfOpenedFlows {150};
 constexpr Duration MaximumRetransmissionInterval {1'600};
 constexpr Duration ReadinessInterval {500};
 /// A daemon that does not respond within this time counts as not ready.
@@ -34,22 +38,34 @@
 {
     for (const auto &entry : deployment.entryNames())
         m_entryHealth.push_back({entry, 0, true});
-    for (std::size_t flow = 0; flow < flows; ++flow) {
-        Flow next;
-        next.service = flow % 3 == 0 ? "catalogue" : "ledger";
-        open(next);
-    }
+    for (std::size_t flow = 0; flow < flows; ++flow)
+        openNew(Duration(0));
 }
 
-void SoakCallers::open(Flow &flow)
+void SoakCallers::allowResets(std::uint32_t host, TimePoint end)
+{
+    const std::lock_guard lock(m_mutex);
+    m_resetsAllowedUntil[host] = end;
+}
+
+void SoakCallers::openNew(Duration pause)
+{
+    Flow flow;
+    flow.service = m_openedFlows++ % 3 == 0 ? "catalogue" : "ledger";
+    flow.pause = pause;
+    open(flow);
+}
+
+void SoakCallers::open(Flow flow)
 {
     flow.key = {{CallerHost, m_nextPort}, m_deployment.serviceAddress(flow.service)};
     flow.isOpen = false;
+    flow.sequence = static_cast<std::uint32_t>(m_random());
     flow.acknowledgement = 0;
     flow.request.clear();
+    flow.answersSinceOpening = 0;
     flow.sentAt = {};
-    flow.retransmissionInterval = InitialRetransmissionInterval;
-    m_flows[m_nextPort++] = flow;
+    m_flows[m_nextPort++] = std::move(flow);
 }
 
 void SoakCallers::run(Duration duration)
@@ -57,24 +73,22 @@
     const auto end = currentTime() + duration;
     while (currentTime() < end) {
         checkNextEntry(currentTime());
+        if (m_isOpening && currentTime() - m_openedAt >= OpeningInterval) {
+            m_openedAt = currentTime();
+            openNew(PauseOfOpenedFlows);
+        }
         sendDue(currentTime());
-        m_socket.receive([&](std::span<const std::byte> packet, const Endpoint &) { receive(packet); });
+        m_socket.receive([&](std::span<const std::byte> packet, const Endpoint &sender) { receive(packet, sender); });
         std::this_thread::sleep_for(Duration(1));
     }
 }
 
 std::size_t SoakCallers::awaitAnswersOnAllFlows(Duration limit)
 {
-    std::map<std::uint16_t, std::uint64_t> before;
-    for (const auto &[port, flow] : m_flows)
-        before[port] = flow.answers;
-    const auto isAnswered = [&](const auto &entry) {
-        const auto found = before.find(entry.first);
-        return found != before.end() && entry.second.answers > found->second;
-    };
-    const auto end = currentTime() + limit;
+    const auto start = currentTime();
+    const auto isAnswered = [&](const auto &entry) { return entry.second.answeredAt >= start; };
     std::size_t answered = 0;
-    while (answered < m_flows.size() && currentTime() < end) {
+    while (answered < m_flows.size() && currentTime() < start + limit) {
         run(Duration(50));
         answered = static_cast<std::size_t>(std::count_if(m_flows.begin(), m_flows.end(), isAnswered));
     }
@@ -83,19 +97,41 @@
 
 void SoakCallers::sendDue(TimePoint now)
 {
-    for (auto &[port, flow] : m_flows) {
-        const bool isNew = flow.isOpen && flow.request.empty();
-        if (isNew) {
-            flow.request = std::to_string(port) + "-" + std::to_string(flow.answers);
-            flow.retransmissionInterval = InitialRetransmissionInterval;
-        }
-        if (!isNew && now - flow.sentAt < flow.retransmissionInterval)
+    std::vector<Flows::node_type> ended;
+    for (auto next = m_flows.begin(); next != m_flows.end();) {
+        const auto current = next++;
+        auto &flow = current->second;
+        if (!prepareDue(flow, now))
             continue;
-        if (!isNew && flow.sentAt != TimePoint {})
-            flow.retransmissionInterval = std::min(flow.retransmissionInterval * 2, MaximumRetransmissionInterval);
-        flow.sentAt = now;
-        send(flow);
+        if (!flow.isOpen && flow.copies > SynCopies)
+            ended.push_back(m_flows.extract(current));
+        else
+            send(flow);
     }
+    for (auto &flow : ended) {
+        ++m_outcome.unansweredAttempts;
+        open(std::move(flow.mapped()));
+    }
+}
+
+bool SoakCallers::prepareDue(Flow &flow, TimePoint now)
+{
+    const bool isFirstSyn = !flow.isOpen && flow.sentAt == TimePoint {};
+    const bool isNewRequest = flow.isOpen && flow.request.empty() && now - flow.answeredAt >= flow.pause;
+    if (isNewRequest)
+        flow.request = std::to_string(flow.key.caller.port) + "-" + std::to_string(flow.answers);
+    if (isFirstSyn || isNewRequest) {
+        flow.copies = 0;
+        flow.retransmissionInterval = InitialRetransmissionInterval;
+    } else {
+        const bool isWaiting = !flow.isOpen || !flow.request.empty();
+        if (!isWaiting || now - flow.sentAt < flow.retransmissionInterval)
+            return false;
+        ++flow.copies;
+        flow.retransmissionInterval = std::min(flow.retransmissionInterval * 2, MaximumRetransmissionInterval);
+    }
+    flow.sentAt = now;
+    return true;
 }
 
 void SoakCallers::send(const Flow &flow)
@@ -104,9 +140,9 @@
     summary.flow = flow.key;
     summary.isSyn = !flow.isOpen;
     summary.hasAcknowledgement = flow.isOpen;
-    summary.acknowledgement = flow.isOpen ? flow.acknowledgement : 0;
-    // Each request has its own sequence number, which its retransmissions repeat, as in a TCP stream.
-    summary.sequence = static_cast<std::uint32_t>(flow.answers);
+    summary.sequence = flow.sequence;
+    // The acknowledgement field of a SYN counts its copies.
+    summary.acknowledgement = flow.isOpen ? flow.acknowledgement : flow.copies;
     transmit(summary, flow.request);
 }
 
@@ -127,7 +163,7 @@
         m_socket.send(m_deployment.callerEndpoint(entry), packet);
 }
 
-void SoakCallers::receive(std::span<const std::byte> packet)
+void SoakCallers::receive(std::span<const std::byte> packet, const Endpoint &sender)
 {
     const auto parsed = Platform::parsePacket(packet, Platform::PacketOrigin::Target);
     if (parsed.has_error())
@@ -138,18 +174,14 @@
         return;
     auto &flow = found->second;
     if (summary.isReset) {
-        ++m_outcome.resets;
-        const bool isBroken = flow.isOpen && !m_areResetsAllowed;
-        m_outcome.brokenFlows += isBroken ? 1 : 0;
-        if (isBroken)
-            std::cout << "broken_flow=" << toString(flow.key) << " at_ms=" << (currentTime() - m_startedAt).count() << "\n";
-        auto next = flow;
-        m_flows.erase(found);
-        open(next);
+        processReset(flow, sender);
+        open(std::move(m_flows.extract(found).mapped()));
         return;
     }
     if (summary.isSyn && !flow.isOpen) {
         flow.isOpen = true;
+        flow.target = sender;
+        ++flow.sequence;
         flow.acknowledgement = summary.sequence + 1;
     }
     // Ignore duplicate answers to earlier requests.
@@ -159,9 +191,24 @@
     ++m_outcome.answers;
     m_outcome.wrongAnswers += answer == flow.request + "@" + flow.service ? 0 : 1;
     ++flow.answers;
+    ++flow.answersSinceOpening;
+    flow.answeredAt = currentTime();
+    flow.sequence += static_cast<std::uint32_t>(flow.request.size());
+    flow.acknowledgement += static_cast<std::uint32_t>(answer.size());
     flow.request.clear();
 }
 
+void SoakCallers::processReset(const Flow &flow, const Endpoint &sender)
+{
+    ++m_outcome.resets;
+    const std::lock_guard lock(m_mutex);
+    if (!flow.isOpen || currentTime() < m_resetsAllowedUntil[flow.target.address])
+        return;
+    ++m_outcome.brokenFlows;
+    std::cout << "broken_flow=" << toString(flow.key) << " at_ms=" << (currentTime() - m_startedAt).count()
+              << " target=" << toString(flow.target) << " reset_by=" << toString(sender) << " answers=" << flow.answersSinceOpening << "\n";
+}
+
 void SoakCallers::checkNextEntry(TimePoint now)
 {
     // Check one daemon at a time, so that a paused daemon delays the callers by at most one check.
--- a/Tests/RelaySoak/SoakPlan.h
+++ b/Tests/RelaySoak/SoakPlan.h
@@ -28,8 +28,21 @@
     LossyFabric,
     /// A new version of the configuration adds routes that no flow uses, and a later version removes them.
     ChangeRoutes,
+    /// SIGSTOP of half of the entry daemons, from number `index` on, and SIGCONT at the end of the fault.
+    FreezeEntries,
+    /// SIGTERM of an agent whose target keeps running, and a new start at the end of the fault.
+    RestartAgent,
+    /// The target of an agent is listed as draining from now on and keeps serving its open flows.
+    DrainTarget,
+    /// Threads that use all their processor time run beside the daemons.
+    BusyMachine,
+    /// Callers open further flows, which stay open.
+    OpenFlows,
 };
 
+/// Time between SIGTERM and the new start of an entry daemon. A graceful stop takes 2.2 s.
+constexpr Duration RestartTime {3'000};
+
 /// One injected fault.
 struct SoakFault {
     SoakFaultKind kind = SoakFaultKind::KillEntry;
@@ -40,19 +53,28 @@
     Duration duration {0};
 };
 
-/// The number of daemons in a soak and its duration.
+/// The number of daemons in a soak and its duration. Each service has at least two of the targets; the service of the first
+/// `firstServiceAgents` agents has no others.
 struct SoakSize {
     int entries = 3;
     int agents = 5;
+    int firstServiceAgents = 2;
     Duration duration {9'000};
 };
 
 /// Generates a random sequence of overlapping faults, ordered by time. The same seed gives the same faults.
 [[nodiscard]] std::vector<SoakFault> generateSoakFaults(std::uint64_t seed, const SoakSize &size);
 
-/// Returns whether a fault may break flows, because the agent of their target is unavailable for longer than the timeout
-/// after which daemons treat it as unreachable.
-[[nodiscard]] bool mayBreakFlows(const SoakFault &fault);
+/// Generates the faults of a release, ordered by time: planned restarts of all daemons in a series, a freeze of half of the entry daemons
+/// while callers open flows, a draining target of each service, a busy machine, and faults of the store and of the network. No
+/// fault disturbs a target or stops an agent without notice. The same seed gives the same faults.
+[[nodiscard]] std::vector<SoakFault> generateReleaseFaults(std::uint64_t seed, const SoakSize &size);
+
+/// Returns whether a fault of kind FreezeEntries freezes an entry daemon, given the number of entry daemons.
+[[nodiscard]] bool isFrozenBy(const SoakFault &freeze, int entry, int entries);
+
+/// Returns whether a fault stops or pauses an agent without notice.
+[[nodiscard]] bool isUnplannedAgentFault(SoakFaultKind kind);
 
 /// Formats a fault as key=value pairs.
 [[nodiscard]] std::string describe(const SoakFault &fault);
--- a/Tests/RelaySoak/TestRelaySoak.cpp
+++ b/Tests/RelaySoak/TestRelaySoak.cpp
@@ -1,5 +1,6 @@
 #include "SoakCallers.h"
 #include "SoakPlan.h"
+#include "SoakTargets.h"
 #include "StoreProxy.h"
 
 #include "LibTransport/MonotonicClock.h"
@@ -9,8 +10,10 @@
 #include <array>
 #include <csignal>
 #include <cstdlib>
+#include <future>
 #include <iostream>
 #include <map>
+#include <set>
 #include <thread>
 
 /// A soak test of the relaying daemons as processes, with faults at random times. The environment variable
@@ -21,11 +24,12 @@
 
 constexpr std::uint16_t ProxyPort = 18'170;
 constexpr std::size_t Flows = 30;
-/// Time between SIGTERM and the new start of an entry daemon. A graceful stop takes 2.2 s.
-constexpr Duration RestartTime {3'000};
-/// An agent that is unavailable for this long may lose its flows. Resets are then allowed until ResetGracePeriod after the agent is
-/// available again, so that callers have sent on every flow and received the resets.
+/// A target may lose its flows if its agent is killed or paused for this long. Resets of its flows are then allowed until
+/// ResetGracePeriod after the agent is available again, so that callers have sent on every flow and received the resets. Nothing else
+/// allows resets: the targets themselves are never disturbed, and planned restarts of daemons must not break flows.
 constexpr Duration HarmlessAgentOutage {700};
+/// The number of threads of a busy machine.
+constexpr int BusyThreads = 4;
 constexpr Duration ResetGracePeriod {3'000};
 constexpr Duration StepInterval {20};
 /// Every flow must receive answers again within this time after the last fault. The users require recovery within twelve seconds.
@@ -36,15 +40,21 @@
 class FaultRunner
 {
 public:
-    FaultRunner(RelayDeployment &deployment, StoreProxy &proxy, SoakCallers &callers, const std::vector<SoakFault> &faults)
+    FaultRunner(RelayDeployment &deployment,
+                StoreProxy &proxy,
+                SoakCallers &callers,
+                const SoakSize &size,
+                const std::vector<SoakFault> &faults)
         : m_deployment(deployment)
         , m_proxy(proxy)
         , m_callers(callers)
+        , m_size(size)
+        , m_targets(deployment)
     {
         for (const auto &fault : faults) {
-            const bool isRestart = fault.kind == SoakFaultKind::RestartEntry;
+            const bool isEntryRestart = fault.kind == SoakFaultKind::RestartEntry;
             m_steps.emplace(fault.at, Step {fault, false});
-            m_steps.emplace(fault.at + (isRestart ? RestartTime : fault.duration), Step {fault, true});
+            m_steps.emplace(fault.at + (isEntryRestart ? RestartTime : fault.duration), Step {fault, true});
         }
     }
 
@@ -52,20 +62,16 @@
     {
         const auto start = currentTime();
         for (const auto &[at, step] : m_steps) {
-            while (currentTime() - start < at) {
-                updateResetsAllowed();
-                std::this_thread::sleep_for(StepInterval);
-            }
+            while (currentTime() - start < at)
+                wait();
             if (step.isEnd)
                 end(step.fault);
             else
                 begin(step.fault);
         }
         const auto end = currentTime();
-        while (currentTime() - end < ResetGracePeriod) {
-            updateResetsAllowed();
-            std::this_thread::sleep_for(StepInterval);
-        }
+        while (currentTime() - end < ResetGracePeriod)
+            wait();
     }
 
 private:
@@ -74,33 +80,75 @@
         bool isEnd = false;
     };
 
+    /// The time for which an agent has been killed or paused, by one fault or by several that overlap.
+    struct Outage {
+        TimePoint since;
+        int faults = 0;
+    };
+
     static std::string nameOf(const SoakFault &fault)
     {
-        const bool isAgentFault = fault.kind == SoakFaultKind::KillAgent || fault.kind == SoakFaultKind::PauseAgent;
+        const bool isAgentFault =
+            isUnplannedAgentFault(fault.kind) || fault.kind == SoakFaultKind::RestartAgent || fault.kind == SoakFaultKind::DrainTarget;
         return (isAgentFault ? "agent-" : "entry-") + std::to_string(fault.index);
     }
 
+    void wait()
+    {
+        m_targets.acceptConnections();
+        updateResetsAllowed();
+        std::this_thread::sleep_for(StepInterval);
+    }
+
+    void signalFrozen(const SoakFault &freeze, int signal)
+    {
+        for (int entry = 0; entry < m_size.entries; ++entry) {
+            if (isFrozenBy(freeze, entry, m_size.entries))
+                m_deployment.signal("entry-" + std::to_string(entry), signal);
+        }
+    }
+
+    void startBusyThreads()
+    {
+        for (int thread = 0; thread < BusyThreads; ++thread)
+            m_busyThreads.emplace_back([](const std::stop_token &token) {
+                while (!token.stop_requested()) {
+                }
+            });
+    }
+
     void begin(const SoakFault &fault)
     {
         const auto name = nameOf(fault);
+        if (isUnplannedAgentFault(fault.kind))
+            ++m_outages.try_emplace(name, Outage {currentTime()}).first->second.faults;
         switch (fault.kind) {
         case SoakFaultKind::KillAgent:
-            m_unavailableSince.try_emplace(name, currentTime());
-            kill(name);
-            break;
         case SoakFaultKind::KillEntry:
             kill(name);
             break;
         case SoakFaultKind::PauseAgent:
-            m_unavailableSince.try_emplace(name, currentTime());
-            m_deployment.signal(name, SIGSTOP);
-            break;
         case SoakFaultKind::PauseEntry:
             m_deployment.signal(name, SIGSTOP);
             break;
+        case SoakFaultKind::FreezeEntries:
+            signalFrozen(fault, SIGSTOP);
+            break;
         case SoakFaultKind::RestartEntry:
+        case SoakFaultKind::RestartAgent:
+            if (!isRestarting(name) && m_deployment.isRunning(name))
+                m_stopping.insert(name);
             m_deployment.signal(name, SIGTERM);
             break;
+        case SoakFaultKind::DrainTarget:
+            m_targets.drain(name);
+            break;
+        case SoakFaultKind::BusyMachine:
+            startBusyThreads();
+            break;
+        case SoakFaultKind::OpenFlows:
+            m_callers.setOpening(true);
+            break;
         case SoakFaultKind::LossyFabric:
             m_callers.setLossy(true);
             break;
@@ -125,11 +173,24 @@
         case SoakFaultKind::PauseAgent:
             m_deployment.signal(name, SIGCONT);
             break;
+        case SoakFaultKind::FreezeEntries:
+            signalFrozen(fault, SIGCONT);
+            break;
+        case SoakFaultKind::DrainTarget:
+            break;
+        case SoakFaultKind::BusyMachine:
+            m_busyThreads.clear();
+            break;
+        case SoakFaultKind::OpenFlows:
+            m_callers.setOpening(false);
+            break;
         case SoakFaultKind::RestartEntry:
+        case SoakFaultKind::RestartAgent:
             m_deployment.signal(name, SIGCONT);
-            if (m_deployment.isRunning(name))
-                m_deployment.waitForExit(name);
-            restart(name);
+            if (m_stopping.erase(name) > 0)
+                restartAfterExit(name);
+            else
+                restart(name);
             break;
         case SoakFaultKind::LossyFabric:
             m_callers.setLossy(false);
@@ -141,8 +202,8 @@
             m_proxy.setMode(ProxyMode::Pass);
             break;
         }
-        if (fault.kind == SoakFaultKind::KillAgent || fault.kind == SoakFaultKind::PauseAgent)
-            m_unavailableSince.erase(name);
+        if (isUnplannedAgentFault(fault.kind) && --m_outages.at(name).faults == 0)
+            m_outages.erase(name);
     }
 
     static ProxyMode modeOf(SoakFaultKind kind)
@@ -159,38 +220,60 @@
         }
     }
 
+    /// Kills a daemon, unless it is being restarted as planned.
     void kill(const std::string &name)
     {
-        if (!m_deployment.isRunning(name))
+        if (isRestarting(name) || !m_deployment.isRunning(name))
             return;
+        m_stopping.erase(name);
         m_deployment.signal(name, SIGKILL);
         m_deployment.waitForExit(name);
     }
 
     void restart(const std::string &name)
     {
-        if (!m_deployment.isRunning(name))
+        if (!isRestarting(name) && !m_deployment.isRunning(name))
+            m_deployment.start(name);
+    }
+
+    /// Starts a daemon once it has exited. Does not wait, so that the faults keep their times when the exit takes long.
+    void restartAfterExit(const std::string &name)
+    {
+        m_restarts[name] = std::async(std::launch::async, [this, name] {
+            m_deployment.waitForExit(name);
             m_deployment.start(name);
+        });
     }
 
-    /// Allows resets while an agent has been unavailable for HarmlessAgentOutage or longer, and for ResetGracePeriod after the end of
-    /// its outage.
+    [[nodiscard]] bool isRestarting(const std::string &name) const
+    {
+        const auto found = m_restarts.find(name);
+        return found != m_restarts.end() && found->second.wait_for(Duration(0)) != std::future_status::ready;
+    }
+
+    /// Allows resets of the flows of an agent's target while the agent has been unavailable for HarmlessAgentOutage or longer, and
+    /// for ResetGracePeriod after the end of its outage.
     void updateResetsAllowed()
     {
         const auto now = currentTime();
-        for (const auto &[name, since] : m_unavailableSince) {
-            if (now - since >= HarmlessAgentOutage)
-                m_resetsAllowedUntil = now + ResetGracePeriod;
+        for (const auto &[name, outage] : m_outages) {
+            if (now - outage.since >= HarmlessAgentOutage)
+                m_callers.allowResets(m_targets.hostOf(name), now + ResetGracePeriod);
         }
-        m_callers.setResetsAllowed(now < m_resetsAllowedUntil);
     }
 
     RelayDeployment &m_deployment;
     StoreProxy &m_proxy;
     SoakCallers &m_callers;
+    SoakSize m_size;
+    SoakTargets m_targets;
+    std::vector<std::jthread> m_busyThreads;
+    /// The daemons that were sent SIGTERM and neither killed nor started since.
+    std::set<std::string> m_stopping;
+    /// The last planned restart of each daemon. The destructor waits for their ends.
+    std::map<std::string, std::future<void>> m_restarts;
     std::multimap<Duration, Step> m_steps;
-    std::map<std::string, TimePoint> m_unavailableSince;
-    TimePoint m_resetsAllowedUntil;
+    std::map<std::string, Outage> m_outages;
 };
 
 /// Seed 1 as the default, and each seed that has failed:
@@ -198,11 +281,14 @@
 /// unreachable before it had read the agent's answer.
 const std::vector<std::uint64_t> RegressionSeeds {1, 2};
 
-std::vector<std::uint64_t> soakSeeds()
+/// The same for the faults of a release.
+const std::vector<std::uint64_t> ReleaseRegressionSeeds {1};
+
+std::vector<std::uint64_t> soakSeeds(const std::vector<std::uint64_t> &regressionSeeds)
 {
     const auto *text = std::getenv("PAPAYA_SOAK_SEEDS");
     if (text == nullptr)
-        return RegressionSeeds;
+        return regressionSeeds;
     char *rest = nullptr;
     const auto first = std::strtoull(text, &rest, 10);
     const auto last = *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first;
@@ -212,19 +298,18 @@
     return seeds;
 }
 
-class RelaySoak : public testing::TestWithParam<std::uint64_t>
+/// Runs a deployment with these faults, and checks that no open flow breaks and that every flow recovers.
+void runSoak(std::uint64_t seed, const SoakSize &size, const std::vector<SoakFault> &faults)
 {
-};
-
-TEST_P(RelaySoak, RandomFaultsBreakNoFlowAndAllFlowsRecover)
-{
-    const SoakSize size;
-    const auto faults = generateSoakFaults(GetParam(), size);
     StoreProxy proxy(RelayDeployment::storeAddress(ProxyPort), RelayDeployment::storeAddress(EntryOptions {}.storePort));
-    RelayDeployment deployment(PAPAYA_PROGRAMS, size.entries, {{"ledger", 3}, {"catalogue", 2}}, {PeerList::Configured, ProxyPort});
-    SoakCallers callers(deployment, GetParam(), Flows);
+    RelayDeployment deployment(PAPAYA_PROGRAMS,
+                               size.entries,
+                               {{"catalogue", size.firstServiceAgents}, {"ledger", size.agents - size.firstServiceAgents}},
+                               {PeerList::Configured, ProxyPort});
+    SoakCallers callers(deployment, seed, Flows);
     callers.run(SettleTime);
-    FaultRunner runner(deployment, proxy, callers, faults);
+    FaultRunner runner(deployment, proxy, callers, size, faults);
+    std::cout << "faults_start_ms=" << callers.elapsed().count() << "\n";
     std::atomic<bool> isDone = false;
     std::thread thread([&] {
         runner.run();
@@ -239,15 +324,38 @@
     EXPECT_EQ(outcome.wrongAnswers, 0U);
     EXPECT_EQ(outcome.brokenFlows, 0U);
     EXPECT_GT(outcome.answers, Flows);
-    std::cout << "seed=" << GetParam() << " answers=" << outcome.answers << " resets=" << outcome.resets << "\n";
-    if (!HasFailure())
+    std::cout << "seed=" << seed << " flows=" << callers.flowCount() << " answers=" << outcome.answers << " resets=" << outcome.resets
+              << " unanswered_attempts=" << outcome.unansweredAttempts << " stray_packets=" << deployment.strayPackets() << "\n";
+    if (!testing::Test::HasFailure())
         return;
     std::cout << "logs=" << deployment.folder() << "\n";
     for (const auto &fault : faults)
         std::cout << describe(fault) << "\n";
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, RelaySoak, testing::ValuesIn(soakSeeds()), testing::PrintToStringParamName());
+class RelaySoak : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(RelaySoak, RandomFaultsBreakNoFlowAndAllFlowsRecover)
+{
+    const SoakSize size;
+    runSoak(GetParam(), size, generateSoakFaults(GetParam(), size));
+}
+
+class RelayReleaseSoak : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(RelayReleaseSoak, ReleaseDuringFreezesBreaksNoFlowAndAllFlowsRecover)
+{
+    SoakSize size;
+    size.entries = 4;
+    runSoak(GetParam(), size, generateReleaseFaults(GetParam(), size));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RelaySoak, testing::ValuesIn(soakSeeds(RegressionSeeds)), testing::PrintToStringParamName());
+INSTANTIATE_TEST_SUITE_P(Seeds, RelayReleaseSoak, testing::ValuesIn(soakSeeds(ReleaseRegressionSeeds)), testing::PrintToStringParamName());
 
 } // namespace
 
