--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -85,37 +85,46 @@
     return arePropagated ? flow.searchStartedAt - entry.directory.limits.propagationTime : flow.searchStartedAt;
 }
 
-/// Resets a flow that the agents of all targets in the directory denied. If the flow's target may have been listed too recently
-/// to be in the directory, the reset becomes pending instead.
-void resetDeniedFlow(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+/// Returns whether the list of targets is sufficient to reset a flow that no target in the directory is known to hold.
+bool isTargetListSufficient(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow, TimePoint now)
 {
-    const bool isCurrent = areTargetsCurrentAsOf(entry, requiredTargetListTime(entry, key, flow), now);
-    // A list from another entry daemon may lack targets, so a denied flow is not reset before the platform itself was read.
+    if (areTargetsCurrentAsOf(entry, requiredTargetListTime(entry, key, flow), now))
+        return true;
+    // A list from another entry daemon may lack targets, so no flow is reset before the platform itself was read.
     const bool hasPlatformList = entry.targetsCurrentAsOf != TimePoint {};
     const bool hasDelayElapsed = now - flow.searchStartedAt >= entry.limits.maximumResetDelay;
-    if (isCurrent || (hasPlatformList && hasDelayElapsed && isIdempotent(entry, key))) {
-        resetFlow(key, flow, RelayReason::HeldByNobody, flow.acknowledged, now, output);
-        return;
-    }
-    entry.pendingResets.push_back(key);
-    output.refreshTargets();
+    return hasPlatformList && hasDelayElapsed && isIdempotent(entry, key);
 }
 
 /// Returns whether every agent that has not answered is unreachable and may be disregarded; true if all have answered.
-bool areAllCandidatesUnreachable(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow, TimePoint now)
+bool areAllCandidatesUnreachable(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow)
 {
     return std::all_of(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) {
-        return mayResetWithoutAgent(entry, key, candidate.agent, now);
+        return mayResetWithoutAgent(entry, key, candidate.agent);
     });
 }
 
-/// Ends a search whose agents were all asked, unless one of them may still answer.
+/// Ends a search whose agents were all asked, unless one of them may still answer: resets the flow. If the flow's target may have
+/// been listed too recently to be in the directory, the reset becomes pending instead.
 void finishSearch(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    if (flow.candidates.empty())
-        resetDeniedFlow(entry, key, flow, now, output);
-    else if (areAllCandidatesUnreachable(entry, key, flow, now))
+    if (!areAllCandidatesUnreachable(entry, key, flow))
+        return;
+    const bool hasBeenDenied = flow.candidates.empty();
+    if (!isTargetListSufficient(entry, key, flow, now)) {
+        // retrySearch() tries again while there are candidates.
+        if (hasBeenDenied)
+            entry.pendingResets.push_back(key);
+        output.refreshTargets();
+        return;
+    }
+    if (!hasBeenDenied) {
+        flow.agent = flow.candidates.front().agent;
         resetFlow(key, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
+        return;
+    }
+    const auto reason = flow.evidence == FlowEvidence::Assumed ? RelayReason::HeldByNobody : RelayReason::LostAtTarget;
+    resetFlow(key, flow, reason, flow.acknowledged, now, output);
 }
 
 /// Returns the agents of the plan that were not asked yet.
@@ -151,7 +160,7 @@
         return;
     }
     std::stable_partition(
-        unasked.begin(), unasked.end(), [&](const FlowCandidate &agent) { return !mayResetWithoutAgent(entry, key, agent.agent, now); });
+        unasked.begin(), unasked.end(), [&](const FlowCandidate &agent) { return !mayResetWithoutAgent(entry, key, agent.agent); });
     unasked.resize(std::min(unasked.size(), entry.weights.candidates));
     const auto sentProbes = sendProbes(entry, unasked, flow.bufferedPackets.front(), now, output);
     if (sentProbes < unasked.size())
@@ -242,7 +251,7 @@
     flow.stage = EntryFlowStage::Open;
     flow.agent = agent;
     flow.service = service;
-    flow.isConfirmed = true;
+    flow.evidence = FlowEvidence::Held;
     flow.changedAt = now;
     flow.candidates.clear();
     flow.deniedBy.clear();
@@ -260,7 +269,7 @@
     if (std::erase_if(flow.candidates, [&](const FlowCandidate &candidate) { return candidate.agent == agent; }) == 0)
         return;
     flow.deniedBy.push_back(agent);
-    if (areAllCandidatesUnreachable(entry, key, flow, now))
+    if (areAllCandidatesUnreachable(entry, key, flow))
         sendNextRound(entry, key, flow, now, output);
 }
 
@@ -294,7 +303,7 @@
             markAnswered(entry.queries, agent);
             continue;
         }
-        startAnswerTimeout(entry.directory, agent, now);
+        recordQuery(entry.directory, agent, now);
         output.sendQuery(agent, query);
     }
 }
@@ -312,19 +321,22 @@
 void pingAgent(EntryRelay &entry, const Endpoint &agent, ServiceId service, TimePoint now, EntryOutput &output)
 {
     const auto *record = findByAgent(entry.directory, agent);
-    const bool isFresh = record != nullptr && record->lastMessageAt && now - *record->lastMessageAt < entry.limits.agentContactValidity;
-    if (record == nullptr || record->unansweredSince || isFresh)
+    if (record == nullptr)
         return;
-    startAnswerTimeout(entry.directory, agent, now);
+    const bool isFresh = record->lastMessageAt && now - *record->lastMessageAt < entry.limits.agentContactValidity;
+    const bool isDue = record->unanswered ? isQueryDue(entry.directory, *record, now) : !isFresh;
+    if (!isDue)
+        return;
+    recordQuery(entry.directory, agent, now);
     output.sendQuery(agent, {service, {}});
 }
 
-bool mayResetWithoutAgent(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent, TimePoint now)
+bool mayResetWithoutAgent(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent)
 {
     if (!isIdempotent(entry, flow))
         return false;
     const auto *record = findByAgent(entry.directory, agent);
-    return record != nullptr && isUnreachable(entry.directory, *record, now);
+    return record != nullptr && isUnreachable(entry.directory, *record);
 }
 
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output)
@@ -338,15 +350,23 @@
     }
 }
 
+bool endFlowAtTarget(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output)
+{
+    if (flow.evidence == FlowEvidence::Assumed)
+        return true;
+    resetFlow(key, flow, reason, flow.acknowledged, now, output);
+    return false;
+}
+
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output)
 {
+    output.recordDecision(key, reason, flow.agent);
     flow.stage = EntryFlowStage::Ended;
     flow.changedAt = now;
     flow.lastSeenAt = now;
     flow.candidates.clear();
     flow.deniedBy.clear();
     flow.bufferedPackets.clear();
-    output.recordDecision(key, reason, flow.agent);
     output.resetCaller(key, sequence);
 }
 
--- a/Libraries/LibCoordination/EntrySearch.h
+++ b/Libraries/LibCoordination/EntrySearch.h
@@ -43,17 +43,21 @@
 void retrySearch(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output);
 
 /// Sends an agent an empty query to find out whether it is reachable, unless it sent a message within `agentContactValidity` or
-/// a request to it is unanswered.
+/// was queried within `queryInterval`.
 void pingAgent(EntryRelay &entry, const Endpoint &agent, ServiceId service, TimePoint now, EntryOutput &output);
 
 /// Returns whether an agent is unreachable and the requests of the flow's route are idempotent, so that the flow may be reset
 /// without the agent's answer. A flow whose request must not run twice is not reset, since its target may still answer.
-[[nodiscard]] bool mayResetWithoutAgent(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent, TimePoint now);
+[[nodiscard]] bool mayResetWithoutAgent(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent);
 
 /// Continues the searches whose reset waits for a current list of targets: asks the agents of targets that were listed since, or
 /// tries the reset again.
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output);
 
+/// Ends a flow whose cached target has terminated or is unreachable: resets it if it was confirmed at that target. Returns whether
+/// the target was only assumed. The caller of this function then removes the entry, so that the flow's next packet starts a search.
+[[nodiscard]] bool endFlowAtTarget(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output);
+
 /// Resets a flow and keeps its entry for `endedFlowRetention`.
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output);
 
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 
 #include <set>
+#include <string>
+#include <utility>
 
 namespace Papaya {
 
@@ -17,6 +19,8 @@
 constexpr std::uint64_t CallersToken = 1;
 constexpr std::uint64_t DaemonToken = 2;
 constexpr Duration PollTimeout {20};
+/// Limit on the batches of agents' datagrams that are read before callers' packets.
+constexpr std::size_t AgentBatchesPerRound = 16;
 /// A daemon that has just started waits this long for routes and targets from the platform before it reads callers' packets,
 /// which are buffered in the socket meanwhile. The time is below 200 ms, after which callers retransmit a SYN. If the platform
 /// has not answered by then, it is slow or unreachable, and other entry daemons are queried.
@@ -42,6 +46,33 @@
            || reason == RelayReason::SearchFound || reason == RelayReason::SearchStarted;
 }
 
+/// Returns whether a reset for this reason rests on what the daemon knows of an agent.
+bool isDecidedByAgentState(RelayReason reason)
+{
+    return reason == RelayReason::AgentUnreachable || reason == RelayReason::TargetGone;
+}
+
+/// Writes a time in the past as its age. Nothing is written without a time.
+void writeAge(EventLog &line, std::string_view key, const std::optional<TimePoint> &time, TimePoint now)
+{
+    if (time)
+        line.with(key, std::to_string((now - *time).count()));
+}
+
+/// Writes what a reset was decided by: how long the agent has been silent, and what is known of its target.
+void writeAgentState(EventLog &line, const TargetRecord &record, TimePoint now)
+{
+    if (record.unanswered) {
+        writeAge(line, "unanswered_ms", record.unanswered->since, now);
+        line.with("unanswered_queries", static_cast<std::uint64_t>(record.unanswered->queryCount));
+    }
+    writeAge(line, "message_ms", record.lastMessageAt, now);
+    writeAge(line, "withdrawn_ms", record.withdrawnAt, now);
+    line.with("target", record.published.name)
+        .with("target_state", targetStateName(record.load.state))
+        .with("draining", record.published.isDraining ? "true" : "false");
+}
+
 } // namespace
 
 RelayEntryTask::RelayEntryTask(caf::actor_config &config,
@@ -66,13 +97,16 @@
     m_relay.startedAt = currentTime();
     m_poll.addReader(m_daemonSocket.descriptor(), DaemonToken);
     while (!m_isStopped) {
-        m_poll.wait(PollTimeout, [&](std::uint64_t token) {
-            if (token == CallersToken)
-                m_callerSocket.receive([&](std::span<const std::byte> packet, const Endpoint &) { handleCallerPacket(packet); });
-            else
-                m_daemonSocket.receive(
-                    [&](std::span<const std::byte> datagram, const Endpoint &agent) { handleAgentDatagram(datagram, agent); });
-        });
+        const auto startedAt = currentTime();
+        bool arePacketsWaiting = false;
+        bool areDatagramsWaiting = false;
+        m_poll.wait(PollTimeout, [&](std::uint64_t token) { (token == CallersToken ? arePacketsWaiting : areDatagramsWaiting) = true; });
+        if (areDatagramsWaiting)
+            readAgentDatagrams();
+        else
+            markAgentMessagesRead(m_relay, startedAt);
+        if (arePacketsWaiting)
+            readCallerPackets();
         drainMailbox();
         sendQueries(m_relay, currentTime(), *this);
         m_daemonSocket.flush();
@@ -82,6 +116,27 @@
     send(m_program, Stopped {});
 }
 
+void RelayEntryTask::readAgentDatagrams()
+{
+    for (std::size_t batch = 0; batch < AgentBatchesPerRound; ++batch) {
+        const auto startedAt = currentTime();
+        const auto count = m_daemonSocket.receive(
+            [&](std::span<const std::byte> datagram, const Endpoint &agent) { handleAgentDatagram(datagram, agent); });
+        if (count == DatagramSocket::BatchSize)
+            continue;
+        markAgentMessagesRead(m_relay, startedAt);
+        return;
+    }
+}
+
+void RelayEntryTask::readCallerPackets()
+{
+    const auto count = m_callerSocket.receive([&](std::span<const std::byte> packet, const Endpoint &) { handleCallerPacket(packet); });
+    // A full batch takes long. What agents sent meanwhile is read before it is decided on timeouts.
+    if (count == DatagramSocket::BatchSize)
+        readAgentDatagrams();
+}
+
 void RelayEntryTask::startReadingCallers()
 {
     if (m_isReadingCallers || (!hasRoutesAndTargets(m_relay) && currentTime() - m_relay.startedAt < InitialReadTimeout))
@@ -219,8 +274,16 @@
     if (agent != Endpoint {})
         line.with("agent", toString(agent));
     const auto found = m_relay.flows.find(flow);
+    const bool isResetAtTarget =
+        reason == RelayReason::LostAtTarget || reason == RelayReason::TargetGone || reason == RelayReason::AgentUnreachable;
+    if (found != m_relay.flows.end() && isResetAtTarget)
+        line.with("evidence", flowEvidenceName(found->second.evidence))
+            .with("open_ms", static_cast<std::uint64_t>((currentTime() - found->second.changedAt).count()));
     if (found != m_relay.flows.end() && (reason == RelayReason::HeldByNobody || reason == RelayReason::SearchFound))
         line.with("search_ms", static_cast<std::uint64_t>((currentTime() - found->second.searchStartedAt).count()));
+    const auto *record = findByAgent(std::as_const(m_relay.directory), agent);
+    if (record != nullptr && isDecidedByAgentState(reason))
+        writeAgentState(line, *record, currentTime());
 }
 
 void RelayEntryTask::applyRoutes(const RoutesReceived &received)
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -58,7 +58,11 @@
     }
     void resetCaller(const FlowKey &, std::uint32_t sequence) override { resets.push_back(sequence); }
     void refreshTargets() override { ++refreshes; }
-    void recordDecision(const FlowKey &, RelayReason reason, const Endpoint &) override { reasons.push_back(reason); }
+    void recordDecision(const FlowKey &, RelayReason reason, const Endpoint &agent) override
+    {
+        reasons.push_back(reason);
+        lastDecidedAgent = agent;
+    }
 
     [[nodiscard]] bool hasRecorded(RelayReason reason) const { return std::find(reasons.begin(), reasons.end(), reason) != reasons.end(); }
 
@@ -66,6 +70,8 @@
     std::vector<std::pair<Endpoint, RelayQuery>> queries;
     std::vector<std::uint32_t> resets;
     std::vector<RelayReason> reasons;
+    /// The agent that the last decision named.
+    Endpoint lastDecidedAgent;
     int refreshes = 0;
 };
 
@@ -133,11 +139,13 @@
         onAnswer(m_entry, agent, {hashOf("ledger"), {}, {{flow, verdict}}}, at(milliseconds), m_output);
     }
 
-    /// Ticks ten times a second, as a daemon that is not paused does.
+    /// Ticks ten times a second and reads the agents' messages before each tick, as a daemon that is not paused does.
     void tickUntil(int from, int until)
     {
-        for (int time = from; time <= until; time += 100)
+        for (int time = from; time <= until; time += 100) {
+            markAgentMessagesRead(m_entry, at(time));
             onEntryTick(m_entry, at(time), m_output);
+        }
     }
 
     std::uint32_t lastAgent() const { return m_output.sent.back().agent.address - 0x0a020000; }
