EntrySearch: Repeat searches as queries

Change: agents that have not answered are queried again. One that answers unknown gets another probe when the last one is 0.6 s old and may be lost. After a repetition the target that holds the flow gets all buffered packets, since the first may be lost.

--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -35,6 +35,9 @@
     /// Agents that have not answered a search within this time are asked again, on the caller's next packet or on the next
     /// tick.
     Duration searchRetryInterval {150};
+    /// An agent that was sent a probe is only queried until this time has passed, since the probe or its answer may still be waiting in
+    /// a socket: further copies would reach targets that do not hold the flow.
+    Duration probeRetryInterval {600};
     /// How long the entry of a finished or reset flow, or of an incomplete handshake, is kept to answer late packets.
     Duration endedFlowRetention {3'000};
     /// How long the entry of an open flow is kept without packets.
@@ -69,9 +72,11 @@
     Endpoint agent;
     ServiceId service = 0;
     TimePoint sentAt;
-    /// While searching: whether the target may be sent the flow's packets, and whether one was sent to it as a probe.
+    /// While searching: whether the target may be sent the flow's packets, and when one was last sent to it as a probe.
     bool mayReceivePackets = true;
-    bool wasProbed = false;
+    std::optional<TimePoint> probedAt {};
+    /// While searching: whether the target, if it holds the flow, has got the first buffered packet by a probe.
+    bool hasFirstPacket = false;
     /// The initial sequence number of the target's SYN-ACK, if its agent reported one.
     std::optional<std::uint32_t> sequence {};
     bool hasReturnedSyn = false;
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -37,7 +37,8 @@
         if (!consumeSearchBandwidth(entry, packet.size(), now))
             break;
         candidate.sentAt = now;
-        candidate.wasProbed = true;
+        candidate.probedAt = now;
+        candidate.hasFirstPacket = true;
         startAnswerTimeout(entry.directory, candidate.agent, now);
         output.sendToAgent(candidate.agent, {candidate.service, EnvelopePurpose::Search, packet});
         ++sentProbes;
@@ -169,15 +170,13 @@
     flow.candidates.insert(flow.candidates.end(), unasked.begin(), unasked.end());
 }
 
-/// Repeats the requests to the agents that have not answered, each by the same means as before.
+/// Repeats the requests to the agents that have not answered, as queries. An agent that cannot tell whether its target holds the flow
+/// answers unknown, and then gets another probe if the last one may be lost.
 void repeatRequests(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    const auto probedEnd =
-        std::partition(flow.candidates.begin(), flow.candidates.end(), [](const FlowCandidate &agent) { return agent.wasProbed; });
-    const auto count = static_cast<std::size_t>(std::distance(flow.candidates.begin(), probedEnd));
-    const std::span candidates(flow.candidates);
-    (void)sendProbes(entry, candidates.first(count), flow.bufferedPackets.front(), now, output);
-    enqueueQueries(entry, key, candidates.subspan(count), now);
+    for (auto &candidate : flow.candidates)
+        candidate.hasFirstPacket = false;
+    enqueueQueries(entry, key, flow.candidates, now);
     sendQueries(entry, now, output);
 }
 
@@ -247,7 +246,7 @@
         return;
     const auto asked =
         std::find_if(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &other) { return other.agent == agent; });
-    const bool hasFirstPacket = asked != flow.candidates.end() && asked->wasProbed;
+    const bool hasFirstPacket = asked != flow.candidates.end() && asked->hasFirstPacket;
     flow.stage = EntryFlowStage::Open;
     flow.agent = agent;
     flow.service = service;
@@ -278,7 +277,8 @@
     if (flow.stage != EntryFlowStage::Searching || flow.bufferedPackets.empty())
         return;
     for (auto &candidate : flow.candidates) {
-        if (candidate.agent != agent || !candidate.mayReceivePackets || candidate.wasProbed)
+        const bool isProbePending = candidate.probedAt && now - *candidate.probedAt < entry.limits.probeRetryInterval;
+        if (candidate.agent != agent || !candidate.mayReceivePackets || isProbePending)
             continue;
         if (sendProbes(entry, std::span(&candidate, 1), flow.bufferedPackets.front(), now, output) == 0)
             output.recordDecision(key, RelayReason::SearchDeferred, agent);
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -110,6 +110,39 @@
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
 }
 
+// Packets of an open flow went to targets that do not hold it, again at each repetition of a search, while their agents' denials waited
+// in the socket of a slow entry daemon.
+TEST_F(EntrySearchTest, RepeatedSearchSendsTargetsNoFurtherCopies)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeData(501), 2'000);
+    const auto probes = [&] { return m_output.sent.size() - m_output.queries.size(); };
+    EXPECT_EQ(probes(), 2U);
+    tickUntil(2'100, 2'500);
+    receive(makeData(501), 2'550);
+    EXPECT_EQ(probes(), 2U);
+    EXPECT_GE(m_output.queries.size(), 2U);
+    // A probe that may be lost is repeated if the agent cannot answer from its flow table.
+    answer(agentOf(1), FlowVerdict::Unknown, 2'560);
+    EXPECT_EQ(probes(), 2U);
+    tickUntil(2'600, 2'700);
+    answer(agentOf(1), FlowVerdict::Unknown, 2'710);
+    EXPECT_EQ(probes(), 3U);
+}
+
+// The target that holds the flow gets the packets that were buffered after its probe may have been lost.
+TEST_F(EntrySearchTest, HeldFlowGetsAllPacketsAfterRepeatedSearch)
+{
+    publish(makeTarget(1));
+    receive(makeData(501), 2'000);
+    tickUntil(2'100, 2'200);
+    m_output.sent.clear();
+    answer(agentOf(1), FlowVerdict::Held, 2'210);
+    ASSERT_EQ(m_output.sent.size(), 1U);
+    EXPECT_EQ(m_output.sent.front().purpose, EnvelopePurpose::Forward);
+}
+
 TEST_F(EntrySearchTest, SearchRunsInRoundsWithinBandwidth)
 {
     constexpr std::uint32_t Targets = 50;
