LibCoordination: Keep the first listing of a target that is listed again

Cause: searches leave out targets of other services that were listed after the present routes, and a new entry has a new creation revision. Change: a target that is listed again with the same incarnation keeps the revision of its first listing in the directory. Evidence, before: TestEntrySearch.cpp:370 (SearchIncludesTargetThatWasListedAgain): planSearch().agents.size() is 1, expected 2. Still open: an entry daemon that starts after the entry was written again knows only the new revision.

--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -82,13 +82,16 @@
     }
     auto &record = existing->second;
     const bool hasSameIncarnation = isSameIncarnation(record.published, target);
-    const bool isUnchanged = record.published == target && !record.withdrawnAt;
+    auto published = target;
+    if (hasSameIncarnation)
+        published.listingRevision = std::min(record.published.listingRevision, target.listingRevision);
+    const bool isUnchanged = record.published == published && !record.withdrawnAt;
     if (!hasSameIncarnation) {
         const auto lastMessageAt = record.lastMessageAt;
         record = TargetRecord {};
         record.lastMessageAt = lastMessageAt;
     }
-    record.published = target;
+    record.published = std::move(published);
     record.coldUntil = now + target.coldTime;
     record.propagatedAt = propagatedAt;
     record.withdrawnAt.reset();
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -29,7 +29,8 @@
     Duration coldTime {0};
     /// Distinguishes two runs of the target; 0 where the platform gives none.
     Incarnation incarnation = 0;
-    /// The platform's revision at which the target was first listed; 0 if unknown.
+    /// The platform's revision at which the target was first listed; 0 if unknown. A target that is listed again after its entry
+    /// expired keeps the revision in the directory.
     std::uint64_t listingRevision = 0;
 
     bool operator==(const PublishedTarget &) const = default;
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -358,6 +358,22 @@
     EXPECT_EQ(planSearch(m_entry, Flow, at(63'000)).agents.size(), 1U);
 }
 
+// Failure: a target whose entry expired and was written again counts as new, and is not asked for flows of earlier routes.
+TEST_F(EntrySearchTest, SearchIncludesTargetThatWasListedAgain)
+{
+    publish(makeTarget(1));
+    auto target = makeTarget(2, "catalogue");
+    publish(target);
+    (void)applyWithdrawn(m_entry.directory, target.id, at(500));
+    target.listingRevision = 11;
+    publish(target, 1'000);
+    EXPECT_EQ(planSearch(m_entry, Flow, at(1'100)).agents.size(), 2U);
+    // Another incarnation is new.
+    target.incarnation = 2;
+    publish(target, 1'200);
+    EXPECT_EQ(planSearch(m_entry, Flow, at(1'300)).agents.size(), 1U);
+}
+
 TEST_F(EntrySearchTest, SearchIncludesFormerServicesOfRoute)
 {
     publish(makeTarget(1));
