--- a/Tests/RelaySoak/SoakTargets.cpp
+++ b/Tests/RelaySoak/SoakTargets.cpp
@@ -1,7 +1,6 @@
 #include "SoakTargets.h"
 
 #include "LibTransport/HttpClient.h"
-#include "LibTransport/StreamSocket.h"
 
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
@@ -26,20 +25,11 @@
         Target target;
         if (!key.starts_with(KeyPrefix) || !absl::Base64Unescape(item.at("Value").get<std::string>(), &target.entry))
             continue;
-        target.application = parseEndpoint(nlohmann::json::parse(target.entry).at("Address").get<std::string>()).value();
-        target.listener = listenStream(target.application).value();
+        target.host = parseEndpoint(nlohmann::json::parse(target.entry).at("Address").get<std::string>()).value().address;
         m_targets.emplace(key.substr(KeyPrefix.size()), std::move(target));
     }
 }
 
-void SoakTargets::acceptConnections()
-{
-    for (const auto &[agent, target] : m_targets) {
-        while (acceptStream(target.listener)) {
-        }
-    }
-}
-
 void SoakTargets::drain(const std::string &agent)
 {
     auto entry = nlohmann::json::parse(m_targets.at(agent).entry);
--- a/Tests/RelaySoak/TestRelaySoak.cpp
+++ b/Tests/RelaySoak/TestRelaySoak.cpp
@@ -95,7 +95,6 @@
 
     void wait()
     {
-        m_targets.acceptConnections();
         updateResetsAllowed();
         std::this_thread::sleep_for(StepInterval);
     }
