--- a/Tests/RelaySoak/TestRelaySoak.cpp
+++ b/Tests/RelaySoak/TestRelaySoak.cpp
@@ -280,8 +280,14 @@
 /// unreachable before it had read the agent's answer.
 const std::vector<std::uint64_t> RegressionSeeds {1, 2};
 
-/// The same for the faults of a release.
-const std::vector<std::uint64_t> ReleaseRegressionSeeds {1};
+/// The same for the faults of a release, with one seed for each cause:
+/// 100: an agent was restarted as planned. An entry daemon had pinged it once, while no process ran, and reset the open flows of its
+/// target one second later, although the agent was running again.
+/// 101: an entry daemon that had been frozen read a SYN two seconds late and placed it at a second target. It took the SYN-ACK of that
+/// target as the confirmation of the open flow, and reset the flow when the second target returned its next packet.
+/// 103: an entry daemon that had just started searched for a flow while the agent of its target was being restarted, and reset the flow
+/// after one second without an answer.
+const std::vector<std::uint64_t> ReleaseRegressionSeeds {1, 100, 101, 103};
 
 std::vector<std::uint64_t> soakSeeds(const std::vector<std::uint64_t> &regressionSeeds)
 {
