--- a/Libraries/LibEmulator/EmulatedAgent.cpp
+++ b/Libraries/LibEmulator/EmulatedAgent.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr Duration TickInterval {100};
-constexpr int RestartAnnouncements = 3;
+/// How long a stopping agent may relay packets before it would be killed.
+constexpr Duration StopTime {5'000};
 
 std::string verdictName(FlowVerdict verdict)
 {
@@ -49,16 +50,44 @@
     m_relay.agentIncarnation = static_cast<Incarnation>(m_events.now().time_since_epoch().count());
     m_relay.hasCompleteFlowTable = flowTable == FlowTableState::Complete;
     m_tickedAt = {};
+    m_stop.reset();
     m_process.start();
 }
 
-void EmulatedAgent::stopGracefully()
+void EmulatedAgent::stopGracefully(EventQueue::Action onEnded)
 {
-    if (m_process.isRunning() && !m_target->isUp())
+    m_onEnded = std::move(onEnded);
+    m_stop.emplace();
+    m_stop->deadline = m_events.now() + StopTime;
+    m_stop->targetCheckedAt = m_events.now();
+    m_process.post([this] { checkTarget(); });
+}
+
+void EmulatedAgent::checkTarget()
+{
+    if (!m_target->isUp())
         onPortClosed(m_relay, m_events.now(), *this);
-    for (int announcement = 0; m_process.isRunning() && announcement < RestartAnnouncements; ++announcement)
+}
+
+void EmulatedAgent::continueStop()
+{
+    if (!m_stop)
+        return;
+    switch (nextStopStep(*m_stop, m_relay, m_events.now())) {
+    case AgentStopStep::Relay:
+        return;
+    case AgentStopStep::CheckTarget:
+        checkTarget();
+        return;
+    case AgentStopStep::AnnounceRestart:
         announceRestart(m_relay, m_events.now(), *this);
-    m_process.stop();
+        return;
+    case AgentStopStep::End:
+        m_stop.reset();
+        m_process.stop();
+        std::exchange(m_onEnded, {})();
+        return;
+    }
 }
 
 void EmulatedAgent::replaceTarget(std::unique_ptr<EmulatedTarget> target)
@@ -158,10 +187,11 @@
 void EmulatedAgent::onIteration()
 {
     const auto now = m_events.now();
-    if (now - m_tickedAt < TickInterval)
-        return;
-    m_tickedAt = now;
-    onAgentTick(m_relay, now, *this);
+    if (now - m_tickedAt >= TickInterval) {
+        m_tickedAt = now;
+        onAgentTick(m_relay, now, *this);
+    }
+    continueStop();
 }
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/EmulatedAgent.h
+++ b/Libraries/LibEmulator/EmulatedAgent.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibCoordination/AgentRelay.h"
+#include "LibCoordination/AgentStop.h"
 #include "LibEmulator/EmulatedNetwork.h"
 #include "LibEmulator/EmulatedProcess.h"
 #include "LibEmulator/EmulatedTarget.h"
@@ -23,8 +23,9 @@
     /// Starts a new process with an empty state.
     void start(FlowTableState flowTable);
 
-    /// Stops the process after it has reported a closed port of its target.
-    void stopGracefully();
+    /// Stops the process as planned, like a daemon that gets SIGTERM: it relays packets while its target serves open flows, at the
+    /// longest for the time until it would be killed. `onEnded` is called when it has ended.
+    void stopGracefully(EventQueue::Action onEnded);
     /// Replaces the target by another one, of the same or another service. The agent applies the change of the service.
     void replaceTarget(std::unique_ptr<EmulatedTarget> target);
 
@@ -45,6 +46,8 @@
     void handleDatagram(const Endpoint &entry, std::span<const std::byte> datagram);
     void handleTargetPacket(const EmulatedPacket &packet);
     void answer(const Endpoint &entry, const RelayQuery &query);
+    void checkTarget();
+    void continueStop();
     void onIteration();
 
     EventQueue &m_events;
@@ -57,6 +60,8 @@
     AgentRelay m_relay;
     RelayEncoder m_encoder;
     TimePoint m_tickedAt;
+    std::optional<AgentStop> m_stop;
+    EventQueue::Action m_onEnded;
 };
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/SimulatedWork.cpp
+++ b/Libraries/LibEmulator/SimulatedWork.cpp
@@ -91,11 +91,13 @@
 
 void RelaySimulation::restartAgentGracefully(std::size_t index, Duration downTime)
 {
-    m_agents.at(index)->stopGracefully();
-    recordEventForAll(target(index).options().name, "agent has stopped");
-    m_events.schedule(downTime, [this, index] {
-        m_agents[index]->start(FlowTableState::Incomplete);
-        recordEventForAll(target(index).options().name, "agent started");
+    recordEventForAll(target(index).options().name, "agent begins to stop");
+    m_agents.at(index)->stopGracefully([this, index, downTime] {
+        recordEventForAll(target(index).options().name, "agent has stopped");
+        m_events.schedule(downTime, [this, index] {
+            m_agents[index]->start(FlowTableState::Incomplete);
+            recordEventForAll(target(index).options().name, "agent started");
+        });
     });
 }
 
@@ -123,8 +125,8 @@
 void RelaySimulation::endTarget(std::size_t index)
 {
     target(index).crash();
-    m_agents.at(index)->stopGracefully();
-    recordEventForAll(target(index).options().name, "target and agent have ended");
+    m_agents.at(index)->stopGracefully([] {});
+    recordEventForAll(target(index).options().name, "target has ended, and its agent begins to stop");
     expireEntry(publicationOf(index).id, Duration(0));
 }
 
