LibEmulator: Tell slow daemons from overloaded ones

The scenarios with slow daemons in TestFlowRule read batches of 8 datagrams every 300 ms, fewer than arrive, so that the sockets filled for seconds. That is another case than a daemon which handles each message late. Both cases are scenarios now: Slow* with batches of 64, Overloaded* with batches of 8 as before.

--- a/Tests/LibEmulator/TestFlowRule.cpp
+++ b/Tests/LibEmulator/TestFlowRule.cpp
@@ -15,9 +15,11 @@
 constexpr std::uint64_t LargeSeedCount = 2;
 constexpr Duration CallerTime {20'000};
 constexpr Duration RunTime {24'000};
-/// A pace that is just below the threshold at which an entry daemon detects a pause.
+/// The time of one iteration of a slow daemon, just below the threshold at which an entry daemon detects a pause.
 constexpr Duration SlowIterationTime {300};
-constexpr std::size_t SlowBatchSize = 8;
+/// With the larger batches a slow daemon handles every message late. With the smaller ones it receives more messages than it handles.
+constexpr std::size_t SlowBatchSize = 64;
+constexpr std::size_t OverloadedBatchSize = 8;
 
 SimulationOptions makeOptions(std::uint64_t seed, std::size_t scale)
 {
@@ -62,6 +64,20 @@
                                   [this, agent, downTime] { m_simulation.restartAgentGracefully(agent, downTime); });
     }
 
+    /// Makes all entry daemons slow.
+    void slowEntries(Duration at, std::size_t batchSize)
+    {
+        for (std::size_t entry = 0; entry < m_simulation.entryCount(); ++entry)
+            m_simulation.schedule(at, [this, entry, batchSize] { m_simulation.setEntryPace(entry, SlowIterationTime, batchSize); });
+    }
+
+    /// Makes all agents slow.
+    void slowAgents(Duration at, std::size_t batchSize)
+    {
+        for (std::size_t agent = 0; agent < m_simulation.targetCount(); ++agent)
+            m_simulation.schedule(at, [this, agent, batchSize] { m_simulation.setAgentPace(agent, SlowIterationTime, batchSize); });
+    }
+
     /// Runs the simulation and checks that no request ran at a wrong service or twice without being idempotent, and that every open
     /// flow stayed at its target.
     void runAndExpectFlowRule()
@@ -108,8 +124,7 @@
 // Guards against resets while answers of agents wait unread in an entry daemon that is short of processor time.
 TEST_P(FlowRuleSeeds, SlowEntryDaemonsBreakNoFlow)
 {
-    for (std::size_t entry = 0; entry < m_simulation.entryCount(); ++entry)
-        m_simulation.schedule(Duration(3'000), [this, entry] { m_simulation.setEntryPace(entry, SlowIterationTime, SlowBatchSize); });
+    slowEntries(Duration(3'000), SlowBatchSize);
     restartEntries(Duration(4'000), Duration(900));
     restartAgents(Duration(4'000), Duration(500), Duration(300));
     runAndExpectFlowRule();
@@ -118,8 +133,24 @@
 // Guards against resets while queries wait unread in agents that are short of processor time.
 TEST_P(FlowRuleSeeds, SlowAgentsBreakNoFlow)
 {
-    for (std::size_t agent = 0; agent < m_simulation.targetCount(); ++agent)
-        m_simulation.schedule(Duration(3'000), [this, agent] { m_simulation.setAgentPace(agent, SlowIterationTime, SlowBatchSize); });
+    slowAgents(Duration(3'000), SlowBatchSize);
+    restartEntries(Duration(4'000), Duration(900));
+    runAndExpectFlowRule();
+}
+
+// Guards against resets, and against repeated probes, while datagrams wait for seconds in an entry daemon's sockets.
+TEST_P(FlowRuleSeeds, OverloadedEntryDaemonsBreakNoFlow)
+{
+    slowEntries(Duration(3'000), OverloadedBatchSize);
+    restartEntries(Duration(4'000), Duration(900));
+    restartAgents(Duration(4'000), Duration(500), Duration(300));
+    runAndExpectFlowRule();
+}
+
+// Guards against repeated probes while datagrams wait for seconds in an agent's sockets.
+TEST_P(FlowRuleSeeds, OverloadedAgentsBreakNoFlow)
+{
+    slowAgents(Duration(3'000), OverloadedBatchSize);
     restartEntries(Duration(4'000), Duration(900));
     runAndExpectFlowRule();
 }
