EntrySearch: Wait for a list that is newer than expired entries

Cause: the wait for expired entries ended with time alone, so an old list counted as complete. While the store is away, the caller gets no answer.

--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -341,7 +341,7 @@
 
 bool mayListLackTargets(const EntryRelay &entry, TimePoint now)
 {
-    return !entry.firstTargetListAsOf || now - *entry.firstTargetListAsOf < entry.limits.relistingTime;
+    return !entry.firstTargetListAsOf || !areTargetsCurrentAsOf(entry, *entry.firstTargetListAsOf + entry.limits.relistingTime, now);
 }
 
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output)
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -78,6 +78,23 @@
     }
 }
 
+// Failure: a daemon that started shortly after an outage of the store, and lost the store again, resets the flows of a serving target
+// that its only list lacks.
+TEST_F(EntrySearchTest, DeniedFlowIsNotResetWhileListIsOlderThanRelisting)
+{
+    m_entry.firstTargetListAsOf = Start;
+    m_entry.watchStartedAt.reset();
+    m_entry.routes.routes[ServiceAddress].isIdempotent = true;
+    publish(makeTarget(1));
+    receive(makeData(501), 500);
+    notify(1, NoticeKind::Denied, 502);
+    tickUntil(600, 5'000);
+    EXPECT_TRUE(m_output.resets.empty());
+    markTargetsCurrent(m_entry, at(5'000));
+    tickUntil(5'100, 5'200);
+    EXPECT_EQ(m_output.resets.size(), 1U);
+}
+
 TEST_F(EntrySearchTest, TargetListedAfterAllDenialsIsAsked)
 {
     publish(makeTarget(1));
