LibCoordination: Ask targets that may have been listed again after a start

Cause: an entry that is written again has a new creation revision, so the target looked as if it had been listed after the present routes. Change: that revision is evidence only if the target had just started when it was first read (it was cold), or was first read later than 2.5 s after the daemon's first list. Targets in the directory keep their first revision already. Evidence, before: TestEntrySearch.cpp:385 (SearchAfterStartIncludesTargetThatMayHaveBeenListedAgain): planSearch().agents.size() is 1, expected 2.

--- a/Libraries/LibCoordination/SearchPlan.cpp
+++ b/Libraries/LibCoordination/SearchPlan.cpp
@@ -21,10 +21,15 @@
     return std::any_of(services.begin(), services.end(), [&](const WeightedService &weighted) { return weighted.service == service; });
 }
 
-/// Returns whether a target was first listed after the current routes were written, so that no earlier routes led to it.
-bool wasListedAfterRoutes(const EntryRelay &entry, const PublishedTarget &target)
+/// Returns whether a target was first listed after the current routes were written, so that no earlier routes led to it. A target
+/// whose entry expired and was written again looks the same, unless this daemon has read it before. It is listed again within
+/// `relistingTime`, and is not cold then.
+bool wasListedAfterRoutes(const EntryRelay &entry, const TargetRecord &record)
 {
-    return entry.routes.changeRevision > 0 && target.listingRevision > entry.routes.changeRevision;
+    if (entry.routes.changeRevision == 0 || record.published.listingRevision <= entry.routes.changeRevision)
+        return false;
+    const bool wasReadLater = entry.firstTargetListAsOf && record.firstReadAt - *entry.firstTargetListAsOf >= entry.limits.relistingTime;
+    return record.wasColdWhenFirstRead || wasReadLater;
 }
 
 /// Appends targets to a plan in the order in which the flow's hash ranks them.
@@ -56,7 +61,7 @@
             likely.push_back(&target);
         else if (hasServedAddress(entry, flow.service, target.service))
             related.push_back(&target);
-        else if (!hasAllFormerServices && !wasListedAfterRoutes(entry, target))
+        else if (!hasAllFormerServices && !wasListedAfterRoutes(entry, record))
             unrelated.push_back(&target);
     }
     SearchPlan plan;
--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -14,6 +14,17 @@
     return existing.incarnation == 0 || next.incarnation == 0 || existing.incarnation == next.incarnation;
 }
 
+/// Returns the record of a run of a target that is read for the first time.
+TargetRecord makeRecord(const PublishedTarget &target, TimePoint now)
+{
+    TargetRecord record;
+    record.published = target;
+    record.coldUntil = now + target.coldTime;
+    record.firstReadAt = now;
+    record.wasColdWhenFirstRead = target.coldTime > Duration(0);
+    return record;
+}
+
 /// Returns whether `next` replaces another target on the same VM.
 bool replacesAnother(const TargetDirectory &directory, const PublishedTarget &next)
 {
@@ -73,9 +84,7 @@
     directory.targetOfAgent[target.agent] = target.id;
     const auto existing = directory.targets.find(target.id);
     if (existing == directory.targets.end()) {
-        TargetRecord record;
-        record.published = target;
-        record.coldUntil = now + target.coldTime;
+        auto record = makeRecord(target, now);
         record.propagatedAt = propagatedAt;
         directory.targets.emplace(target.id, std::move(record));
         return isReplacing ? PublicationEffect::Replaced : PublicationEffect::Added;
@@ -88,7 +97,7 @@
     const bool isUnchanged = record.published == published && !record.withdrawnAt;
     if (!hasSameIncarnation) {
         const auto lastMessageAt = record.lastMessageAt;
-        record = TargetRecord {};
+        record = makeRecord(target, now);
         record.lastMessageAt = lastMessageAt;
     }
     record.published = std::move(published);
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -50,6 +50,9 @@
 struct TargetRecord {
     PublishedTarget published;
     TimePoint coldUntil;
+    /// When this run of the target was first read from the platform, and whether the target was cold then, that is had just started.
+    TimePoint firstReadAt;
+    bool wasColdWhenFirstRead = false;
     /// From this time on the agent's address has reached every entry daemon that watches the platform.
     TimePoint propagatedAt;
     TargetLoad load;
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -374,6 +374,26 @@
     EXPECT_EQ(planSearch(m_entry, Flow, at(1'300)).agents.size(), 1U);
 }
 
+// Failure: an entry daemon that started after a target's entry was written again does not ask it for flows of earlier routes.
+TEST_F(EntrySearchTest, SearchAfterStartIncludesTargetThatMayHaveBeenListedAgain)
+{
+    m_entry.firstTargetListAsOf = Start;
+    publish(makeTarget(1));
+    auto target = makeTarget(2, "catalogue");
+    target.listingRevision = 11;
+    publish(target, 1'800);
+    EXPECT_EQ(planSearch(m_entry, Flow, at(1'900)).agents.size(), 2U);
+    // A target that has just started is new, and so is one that is listed later.
+    auto started = makeTarget(3, "catalogue");
+    started.listingRevision = 12;
+    started.coldTime = Duration(3'000);
+    publish(started, 1'900);
+    auto later = makeTarget(4, "catalogue");
+    later.listingRevision = 13;
+    publish(later, 2'600);
+    EXPECT_EQ(planSearch(m_entry, Flow, at(2'700)).agents.size(), 2U);
+}
+
 TEST_F(EntrySearchTest, SearchIncludesFormerServicesOfRoute)
 {
     publish(makeTarget(1));
