StoreReader: Split reading and watching the store from the task that loops

What callers would see: nothing changes yet. The reading of the store was part of an actor that never ends, so a test could not drive it call by call.

Change: StoreReader reads or watches once per call and reports typed updates; StoreTask loops, waits and sends.

--- a/Services/RelayEntry/main.cpp
+++ b/Services/RelayEntry/main.cpp
@@ -16,9 +16,8 @@
     }
     auto task =
         system.spawn<Papaya::RelayEntryTask, caf::detached>(settings, std::move(callers.value()), std::move(daemon.value()), program);
-    const Papaya::Platform::StoreTaskOptions store {
-        settings.platform, settings.daemon.port, Papaya::hashOf(settings.name), settings.stalenessLimit};
-    system.spawn<Papaya::Platform::StoreTask, caf::detached>(store, task);
+    const Papaya::Platform::StoreReaderOptions store {settings.platform, settings.daemon.port, settings.stalenessLimit};
+    system.spawn<Papaya::Platform::StoreTask, caf::detached>(store, Papaya::hashOf(settings.name), task);
     return task;
 }
 
--- a/Tests/RelayDeployment/RelayDeployment.cpp
+++ b/Tests/RelayDeployment/RelayDeployment.cpp
@@ -113,7 +113,19 @@
                           {"Service", m_addresses.contains(name) ? name : m_addresses.begin()->first}});
     }
     const nlohmann::json configuration {{"Version", ++m_routesVersion}, {"Routes", routes}, {"Limits", {{"IdleTimeoutMs", 15'000}}}};
-    m_store->put("op/config", configuration.dump());
+    write("op/config", configuration.dump());
+}
+
+void RelayDeployment::write(const std::string &key, const std::string &value)
+{
+    m_written[key] = value;
+    m_store->put(key, value);
+}
+
+void RelayDeployment::rewriteStore()
+{
+    for (const auto &[key, value] : m_written)
+        m_store->put(key, value);
 }
 
 Endpoint RelayDeployment::storeAddress(std::uint16_t port)
@@ -135,7 +147,7 @@
                                 {"State", "ready"},
                                 {"ColdLeftMs", 0},
                                 {"born", 1}};
-    m_store->put("servers/" + name, entry.dump());
+    write("servers/" + name, entry.dump());
     const auto settings = commonSettings(name, host) + "service = " + service + "\ntarget = " + toString(application)
                           + "\noutbound = " + toString(makeEndpoint(host, OutboundPort)) + "\n";
     const auto path = writeSettings(name, settings);
--- a/Tests/RelayDeployment/RelayDeployment.h
+++ b/Tests/RelayDeployment/RelayDeployment.h
@@ -68,6 +68,11 @@
     [[nodiscard]] Endpoint serviceAddress(const std::string &service) const;
     /// Publishes the next version of the configuration in the store, with `spareRoutes` additional routes that no flow uses.
     void publishRoutes(int spareRoutes);
+    /// The version of the configuration that was published last.
+    [[nodiscard]] std::uint64_t routesVersion() const { return m_routesVersion; }
+    /// Writes the newest configuration and the entries of all targets again, as the operators and the targets do after the store was
+    /// restored.
+    void rewriteStore();
     /// Returns the endpoint at a port of the store's host.
     [[nodiscard]] static Endpoint storeAddress(std::uint16_t port);
     [[nodiscard]] StoreStandIn &store() { return *m_store; }
@@ -86,6 +91,7 @@
 
     void addEntry(int number);
     void addTarget(const std::string &service);
+    void write(const std::string &key, const std::string &value);
     [[nodiscard]] std::string peerList() const;
     [[nodiscard]] std::string writeSettings(const std::string &name, const std::string &text) const;
 
@@ -99,6 +105,8 @@
     std::map<std::string, Endpoint> m_callers;
     std::map<std::string, Endpoint> m_addresses;
     std::uint64_t m_routesVersion = 0;
+    /// The values written to the store last, by key.
+    std::map<std::string, std::string> m_written;
 };
 
 } // namespace Papaya
