StoreReader: Read everything again in a new era of the store

What callers would see: a route that the operator added after the store was restored from a copy was not served (rule CONFIG), until the next change of the configuration.

Cause: a revision counted as a number alone. After a restore the store issues revisions again. Once they had passed the received one, the store accepted the watch of the daemon, which never saw the changes with lower revisions. Pages from before and after a restore were combined into one list in the same way.

Change: a revision is a pair of era (the header Store-Era of each response) and number. The first response of another era discards the received revision, and the whole store is read at once, without the delay of a retry.

--- /dev/null
+++ b/Tests/Platform/TestStoreReader.cpp
@@ -0,0 +1,198 @@
+#include "platform/StoreReader.h"
+
+#include "RelayDeployment/StoreStandIn.h"
+
+#include "LibTransport/MonotonicClock.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <thread>
+
+#include <unistd.h>
+
+namespace Papaya::Platform {
+
+namespace {
+
+constexpr std::uint16_t AgentPort = 7'720;
+constexpr std::uint16_t StorePort = 18'169;
+/// Time between a change and a copy of the store, so that the copy's age determines which changes it contains.
+constexpr Duration CopySeparation {5};
+
+/// Returns an address on loopback that no other test process uses at the same time.
+Endpoint storeAddress()
+{
+    constexpr std::uint32_t FirstHost = 0x7f0a0001;
+    constexpr std::uint32_t Hosts = 60'000;
+    return {FirstHost + (static_cast<std::uint32_t>(::getpid()) % Hosts), StorePort};
+}
+
+std::string configurationText(std::uint64_t version)
+{
+    const nlohmann::json route {{"Name", "r"}, {"Host", "198.18.0.1"}, {"Prefix", "/443/"}, {"Service", "ledger"}};
+    return nlohmann::json {{"Version", version}, {"Routes", nlohmann::json::array({route})}}.dump();
+}
+
+std::string targetText(std::uint32_t number)
+{
+    const nlohmann::json entry {{"Service", "ledger"},
+                                {"Address", "10.1.0." + std::to_string(number) + ":8165"},
+                                {"Zone", "a"},
+                                {"Slots", 5},
+                                {"State", "ready"},
+                                {"ColdLeftMs", 0},
+                                {"Sequence", 1},
+                                {"born", 1'000}};
+    return entry.dump();
+}
+
+std::string targetKey(std::uint32_t number)
+{
+    return "servers/i-" + std::to_string(number);
+}
+
+/// A reader of a store, and what it has reported.
+class StoreReaderTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_store.put(std::string(ConfigurationKeyText), configurationText(1));
+        m_store.put(targetKey(1), targetText(1));
+    }
+
+    /// Calls the reader until a call has succeeded without changes.
+    void readUntilCurrent()
+    {
+        constexpr int MaximumCalls = 20;
+        for (int call = 0; call < MaximumCalls; ++call) {
+            const auto progress = m_reader.readOrWatch();
+            if (progress.has_value() && progress.value() == StoreProgress::Current)
+                return;
+        }
+        FAIL() << "the reader did not finish";
+    }
+
+    void report(const StoreUpdate &update)
+    {
+        if (const auto *routes = std::get_if<RoutesReceived>(&update))
+            m_version = routes->routes->version;
+        else if (const auto *list = std::get_if<TargetsListed>(&update)) {
+            ++m_lists;
+            m_grace = list->withdrawalGrace;
+            m_targets.clear();
+            for (const auto &target : *list->targets)
+                m_targets.insert(target.name);
+        } else if (const auto *published = std::get_if<TargetPublished>(&update))
+            m_targets.insert(published->target.name);
+    }
+
+    /// Marks the current contents of the store as the copy from which restore() restores it.
+    void takeCopy()
+    {
+        std::this_thread::sleep_for(CopySeparation);
+        m_copyTakenAt = currentTime();
+        std::this_thread::sleep_for(CopySeparation);
+    }
+
+    void restore() { m_store.restore(m_copyTakenAt); }
+
+    static constexpr std::string_view ConfigurationKeyText = "op/config";
+    StoreStandIn m_store {storeAddress()};
+    StoreReader m_reader {{storeAddress(), AgentPort, Duration(1'500)}, [this](const StoreUpdate &update) { report(update); }};
+    std::uint64_t m_version = 0;
+    std::set<std::string> m_targets;
+    Duration m_grace {0};
+    int m_lists = 0;
+    TimePoint m_copyTakenAt;
+};
+
+// Guards against a watch that continues in a restored store: once revisions were issued again beyond the received one, the store
+// accepts the watch, and the changes with lower revisions are never reported. A confirmed route is then not served.
+TEST_F(StoreReaderTest, ChangesAreNotMissedWhenReissuedRevisionsPassTheReceivedOne)
+{
+    readUntilCurrent();
+    takeCopy();
+    m_store.put(targetKey(1), targetText(1));
+    m_store.put(targetKey(1), targetText(1));
+    readUntilCurrent();
+    restore();
+    m_store.put(std::string(ConfigurationKeyText), configurationText(2));
+    m_store.put(targetKey(2), targetText(2));
+    m_store.put(targetKey(3), targetText(3));
+    readUntilCurrent();
+    EXPECT_EQ(m_version, 2U);
+    EXPECT_EQ(m_targets, (std::set<std::string> {"i-1", "i-2", "i-3"}));
+}
+
+// Guards against a list that combines pages from before and after a restore, and a watch that continues at the revision of the
+// earlier page.
+TEST_F(StoreReaderTest, PagesFromBeforeAndAfterRestoreAreNotCombined)
+{
+    takeCopy();
+    for (std::uint32_t target = 2; target <= 5; ++target)
+        m_store.put(targetKey(target), targetText(target));
+    m_store.setPageSize(3);
+    m_store.setAfterNextPage([this] {
+        restore();
+        m_store.put(std::string(ConfigurationKeyText), configurationText(2));
+        m_store.put(targetKey(6), targetText(6));
+        m_store.put(targetKey(1), targetText(1));
+        m_store.put(targetKey(1), targetText(1));
+        m_store.put(targetKey(1), targetText(1));
+    });
+    readUntilCurrent();
+    readUntilCurrent();
+    EXPECT_EQ(m_version, 2U);
+    EXPECT_EQ(m_targets, (std::set<std::string> {"i-1", "i-6"}));
+}
+
+// Guards against a delay of the full read after a restore: the rejected watch counted as an unreachable store, which is read again
+// only after the retry delay.
+TEST_F(StoreReaderTest, WatchFromRevisionThatRestoredStoreLacksIsNoFailure)
+{
+    readUntilCurrent();
+    takeCopy();
+    m_store.put(targetKey(2), targetText(2));
+    readUntilCurrent();
+    restore();
+    const auto progress = m_reader.readOrWatch();
+    EXPECT_TRUE(progress.has_value());
+    EXPECT_EQ(m_reader.consecutiveFailures(), 0);
+    readUntilCurrent();
+    EXPECT_EQ(m_lists, 2);
+}
+
+// Guards against the withdrawal of targets that registered after the copy was made and have not registered again yet.
+TEST_F(StoreReaderTest, TargetsMissingAfterRestoreHaveTimeToRegisterAgain)
+{
+    readUntilCurrent();
+    takeCopy();
+    m_store.put(targetKey(2), targetText(2));
+    readUntilCurrent();
+    restore();
+    readUntilCurrent();
+    EXPECT_EQ(m_targets, std::set<std::string> {"i-1"});
+    EXPECT_GE(m_grace, Duration(2'000));
+}
+
+// Guards against a watch that returns changes only at its end.
+TEST_F(StoreReaderTest, WaitingWatchReportsChange)
+{
+    readUntilCurrent();
+    std::thread writer([this] {
+        std::this_thread::sleep_for(Duration(50));
+        m_store.put(std::string(ConfigurationKeyText), configurationText(3));
+    });
+    const auto progress = m_reader.readOrWatch();
+    writer.join();
+    ASSERT_TRUE(progress.has_value());
+    EXPECT_EQ(progress.value(), StoreProgress::Changed);
+    EXPECT_EQ(m_version, 3U);
+}
+
+} // namespace
+
+} // namespace Papaya::Platform
--- a/Tests/Platform/TestStoreValueParser.cpp
+++ b/Tests/Platform/TestStoreValueParser.cpp
@@ -101,7 +101,7 @@
     EXPECT_EQ(response.value().items[0].value, "node-1");
     EXPECT_EQ(response.value().items[0].createdRevision, 400U);
     EXPECT_TRUE(response.value().items[1].isDeleted);
-    EXPECT_EQ(response.value().revision, 413U);
+    EXPECT_EQ(response.value().revision.number, 413U);
 }
 
 TEST(StoreValueParser, RejectsIncompleteStoreResponses)
