SearchPlan: Compare revisions of the platform only within one era

What callers would see: an open flow is reset although its target holds it. An entry daemon that started after the store was restored leaves the target out of its search, since the target's listing appears to be later than the current routes.

Cause: the revision of the routes and the one at which a target was listed were compared as numbers, though the store issues numbers again in a new era.

The number of a target's report (Sequence) is read. Without the same era the target is queried, which costs a message and no flow.

--- a/Libraries/Generated/Knowledge_generated.h
+++ b/Libraries/Generated/Knowledge_generated.h
@@ -224,7 +224,11 @@
     VT_IS_DRAINING = 18,
     VT_COLD_MS = 20,
     VT_INCARNATION = 22,
-    VT_LISTING_REVISION = 24
+    VT_LISTING_REVISION = 24,
+    VT_LISTING_ERA = 26,
+    VT_REVISION = 28,
+    VT_ERA = 30,
+    VT_SEQUENCE = 32
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -259,6 +263,18 @@
   uint64_t listing_revision() const {
     return GetField<uint64_t>(VT_LISTING_REVISION, 0);
   }
+  uint64_t listing_era() const {
+    return GetField<uint64_t>(VT_LISTING_ERA, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  flatbuffers::Optional<uint64_t> sequence() const {
+    return GetOptional<uint64_t, uint64_t>(VT_SEQUENCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -274,6 +290,10 @@
            VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_LISTING_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LISTING_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -315,6 +335,18 @@
   void add_listing_revision(uint64_t listing_revision) {
     fbb_.AddElement<uint64_t>(Target::VT_LISTING_REVISION, listing_revision, 0);
   }
+  void add_listing_era(uint64_t listing_era) {
+    fbb_.AddElement<uint64_t>(Target::VT_LISTING_ERA, listing_era, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(Target::VT_REVISION, revision, 0);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(Target::VT_ERA, era, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(Target::VT_SEQUENCE, sequence);
+  }
   explicit TargetBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -338,8 +370,16 @@
     bool is_draining = false,
     uint32_t cold_ms = 0,
     uint64_t incarnation = 0,
-    uint64_t listing_revision = 0) {
+    uint64_t listing_revision = 0,
+    uint64_t listing_era = 0,
+    uint64_t revision = 0,
+    uint64_t era = 0,
+    flatbuffers::Optional<uint64_t> sequence = flatbuffers::nullopt) {
   TargetBuilder builder_(_fbb);
+  if(sequence) { builder_.add_sequence(*sequence); }
+  builder_.add_era(era);
+  builder_.add_revision(revision);
+  builder_.add_listing_era(listing_era);
   builder_.add_listing_revision(listing_revision);
   builder_.add_incarnation(incarnation);
   builder_.add_service(service);
@@ -366,7 +406,11 @@
     bool is_draining = false,
     uint32_t cold_ms = 0,
     uint64_t incarnation = 0,
-    uint64_t listing_revision = 0) {
+    uint64_t listing_revision = 0,
+    uint64_t listing_era = 0,
+    uint64_t revision = 0,
+    uint64_t era = 0,
+    flatbuffers::Optional<uint64_t> sequence = flatbuffers::nullopt) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   return Papaya::KnowledgeWire::CreateTarget(
@@ -381,7 +425,11 @@
       is_draining,
       cold_ms,
       incarnation,
-      listing_revision);
+      listing_revision,
+      listing_era,
+      revision,
+      era,
+      sequence);
 }
 
 struct Knowledge FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -391,7 +439,8 @@
     VT_CHANGE_REVISION = 6,
     VT_IDLE_TIMEOUT_MS = 8,
     VT_ROUTES = 10,
-    VT_TARGETS = 12
+    VT_TARGETS = 12,
+    VT_CHANGE_ERA = 14
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -408,6 +457,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>> *targets() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>> *>(VT_TARGETS);
   }
+  uint64_t change_era() const {
+    return GetField<uint64_t>(VT_CHANGE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -419,6 +471,7 @@
            VerifyOffset(verifier, VT_TARGETS) &&
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
+           VerifyField<uint64_t>(verifier, VT_CHANGE_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -442,6 +495,9 @@
   void add_targets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>> targets) {
     fbb_.AddOffset(Knowledge::VT_TARGETS, targets);
   }
+  void add_change_era(uint64_t change_era) {
+    fbb_.AddElement<uint64_t>(Knowledge::VT_CHANGE_ERA, change_era, 0);
+  }
   explicit KnowledgeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -459,8 +515,10 @@
     uint64_t change_revision = 0,
     uint32_t idle_timeout_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Route>>> routes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>> targets = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>> targets = 0,
+    uint64_t change_era = 0) {
   KnowledgeBuilder builder_(_fbb);
+  builder_.add_change_era(change_era);
   builder_.add_change_revision(change_revision);
   builder_.add_version(version);
   builder_.add_targets(targets);
@@ -475,7 +533,8 @@
     uint64_t change_revision = 0,
     uint32_t idle_timeout_ms = 0,
     const std::vector<flatbuffers::Offset<Papaya::KnowledgeWire::Route>> *routes = nullptr,
-    const std::vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>> *targets = nullptr) {
+    const std::vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>> *targets = nullptr,
+    uint64_t change_era = 0) {
   auto routes__ = routes ? _fbb.CreateVector<flatbuffers::Offset<Papaya::KnowledgeWire::Route>>(*routes) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>(*targets) : 0;
   return Papaya::KnowledgeWire::CreateKnowledge(
@@ -484,7 +543,8 @@
       change_revision,
       idle_timeout_ms,
       routes__,
-      targets__);
+      targets__,
+      change_era);
 }
 
 inline const Papaya::KnowledgeWire::Knowledge *GetKnowledge(const void *buf) {
--- a/Libraries/LibCoordination/SearchPlan.cpp
+++ b/Libraries/LibCoordination/SearchPlan.cpp
@@ -24,7 +24,7 @@
 /// Returns whether a target was first listed after the current routes were written, so that no earlier routes led to it.
 bool wasListedAfterRoutes(const EntryRelay &entry, const PublishedTarget &target)
 {
-    return entry.routes.changeRevision > 0 && target.listingRevision > entry.routes.changeRevision;
+    return isLaterInSameEra(target.listingRevision, entry.routes.changeRevision);
 }
 
 /// Appends targets to a plan in the order in which the flow's hash ranks them.
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibState/Clock.h"
+#include "LibState/PlatformRevision.h"
 #include "LibState/RelayMessages.h"
 
 #include <optional>
@@ -29,8 +30,12 @@
     Duration coldTime {0};
     /// Distinguishes two runs of the target; 0 where the platform gives none.
     Incarnation incarnation = 0;
-    /// The platform's revision at which the target was first listed; 0 if unknown.
-    std::uint64_t listingRevision = 0;
+    /// The number of the target's report, which increases during one run of the target; empty where the platform gives none.
+    std::optional<std::uint64_t> sequence;
+    /// The platform's revision of this publication.
+    PlatformRevision revision;
+    /// The platform's revision at which the target was first listed.
+    PlatformRevision listingRevision;
 
     bool operator==(const PublishedTarget &) const = default;
 };
--- a/Libraries/LibEmulator/RelaySimulation.cpp
+++ b/Libraries/LibEmulator/RelaySimulation.cpp
@@ -390,7 +390,7 @@
 void RelaySimulation::publishRoutes(std::vector<Route> routes)
 {
     ++m_routes.version;
-    m_routes.changeRevision = ++m_revision;
+    m_routes.changeRevision.number = ++m_revision;
     m_routes.routes.clear();
     for (auto &route : routes) {
         for (const auto &service : route.services)
@@ -419,7 +419,7 @@
     target.slots = options.slots;
     target.isDraining = node.target->isDraining();
     target.incarnation = node.target->incarnation();
-    target.listingRevision = node.listingRevision;
+    target.listingRevision.number = node.listingRevision;
     return target;
 }
 
--- a/Libraries/LibProtocol/KnowledgeCodec.cpp
+++ b/Libraries/LibProtocol/KnowledgeCodec.cpp
@@ -53,7 +53,12 @@
     wire.add_is_draining(target.isDraining);
     wire.add_cold_ms(static_cast<std::uint32_t>(target.coldTime.count()));
     wire.add_incarnation(target.incarnation);
-    wire.add_listing_revision(target.listingRevision);
+    wire.add_listing_revision(target.listingRevision.number);
+    wire.add_listing_era(target.listingRevision.era);
+    wire.add_revision(target.revision.number);
+    wire.add_era(target.revision.era);
+    if (target.sequence)
+        wire.add_sequence(*target.sequence);
     return wire.Finish();
 }
 
@@ -86,7 +91,10 @@
     target.isDraining = wire.is_draining();
     target.coldTime = Duration(wire.cold_ms());
     target.incarnation = wire.incarnation();
-    target.listingRevision = wire.listing_revision();
+    if (const auto sequence = wire.sequence(); sequence.has_value())
+        target.sequence = *sequence;
+    target.revision = {wire.era(), wire.revision()};
+    target.listingRevision = {wire.listing_era(), wire.listing_revision()};
     return target;
 }
 
@@ -105,7 +113,8 @@
     const auto targetList = builder.CreateVector(targets);
     const auto idleTimeoutMs = static_cast<std::uint32_t>(knowledge.routes.idleTimeout.count());
     const auto &table = knowledge.routes;
-    builder.Finish(KnowledgeWire::CreateKnowledge(builder, table.version, table.changeRevision, idleTimeoutMs, routeList, targetList));
+    builder.Finish(KnowledgeWire::CreateKnowledge(
+        builder, table.version, table.changeRevision.number, idleTimeoutMs, routeList, targetList, table.changeRevision.era));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -121,7 +130,7 @@
     const auto *wire = flatbuffers::GetRoot<KnowledgeWire::Knowledge>(data);
     RelayKnowledge knowledge;
     knowledge.routes.version = wire->version();
-    knowledge.routes.changeRevision = wire->change_revision();
+    knowledge.routes.changeRevision = {wire->change_era(), wire->change_revision()};
     knowledge.routes.idleTimeout = Duration(wire->idle_timeout_ms());
     if (wire->routes() != nullptr) {
         for (const auto *item : *wire->routes()) {
--- a/Libraries/LibState/RouteTable.h
+++ b/Libraries/LibState/RouteTable.h
@@ -2,6 +2,7 @@
 
 #include "LibState/Clock.h"
 #include "LibState/Member.h"
+#include "LibState/PlatformRevision.h"
 
 #include <string>
 #include <unordered_map>
@@ -34,8 +35,8 @@
     /// The operators' version number of the configuration, which only increases; 0 before the first one was read.
     std::uint64_t version = 0;
     std::unordered_map<Endpoint, Route> routes;
-    /// The platform's revision at which this version was written; 0 if unknown.
-    std::uint64_t changeRevision = 0;
+    /// The platform's revision at which this version was written.
+    PlatformRevision changeRevision;
     /// A flow without packets for longer than this may be removed.
     Duration idleTimeout {60'000};
 };
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -39,7 +39,7 @@
     target.failureDomain = "a";
     target.slots = 5;
     target.incarnation = 1;
-    target.listingRevision = 1;
+    target.listingRevision.number = 1;
     return target;
 }
 
@@ -96,7 +96,7 @@
     {
         RouteTable routes;
         routes.version = 1;
-        routes.changeRevision = 10;
+        routes.changeRevision.number = 10;
         routes.routes[ServiceAddress] = {"route", ServiceAddress, {{hashOf("ledger"), "ledger", 1}}};
         m_entry.failureDomain = "a";
         m_entry.startedAt = Start;
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -277,7 +277,7 @@
     EXPECT_FALSE(plan.agents[1].mayReceivePackets);
     // A target that was listed after the current routes were written cannot hold flows of earlier routes.
     auto later = makeTarget(3, "catalogue");
-    later.listingRevision = 11;
+    later.listingRevision.number = 11;
     publish(later);
     EXPECT_EQ(planSearch(m_entry, Flow, at(1'000)).agents.size(), 2U);
     EXPECT_EQ(planSearch(m_entry, Flow, at(63'000)).agents.size(), 1U);
--- a/Tests/LibProtocol/TestKnowledgeCodec.cpp
+++ b/Tests/LibProtocol/TestKnowledgeCodec.cpp
@@ -12,7 +12,7 @@
 {
     RelayKnowledge knowledge;
     knowledge.routes.version = 7;
-    knowledge.routes.changeRevision = 40;
+    knowledge.routes.changeRevision = {3, 40};
     knowledge.routes.idleTimeout = Duration(12'000);
     Route route {"feed", {0xc6120001, 443}, {{hashOf("ledger"), "ledger", 3}, {hashOf("catalogue"), "catalogue", 1}}, true};
     knowledge.routes.routes[route.address] = route;
@@ -27,7 +27,9 @@
     target.isDraining = true;
     target.coldTime = Duration(1'500);
     target.incarnation = 1'789'375'152'937;
-    target.listingRevision = 12;
+    target.sequence = 6;
+    target.revision = {3, 44};
+    target.listingRevision = {2, 12};
     knowledge.targets = {target};
     return knowledge;
 }
@@ -38,7 +40,7 @@
     const auto decoded = decodeKnowledge(encodeKnowledge(original));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(decoded.value().routes.version, 7U);
-    EXPECT_EQ(decoded.value().routes.changeRevision, 40U);
+    EXPECT_EQ(decoded.value().routes.changeRevision, (PlatformRevision {3, 40}));
     EXPECT_EQ(decoded.value().routes.idleTimeout, Duration(12'000));
     EXPECT_EQ(decoded.value().routes.routes, original.routes.routes);
     EXPECT_EQ(decoded.value().targets, original.targets);
--- a/Tests/Platform/TestStoreValueParser.cpp
+++ b/Tests/Platform/TestStoreValueParser.cpp
@@ -31,6 +31,7 @@
     EXPECT_FALSE(target.value().isDraining);
     EXPECT_EQ(target.value().coldTime, Duration(1'500));
     EXPECT_EQ(target.value().incarnation, 1'789'375'152'937U);
+    EXPECT_EQ(target.value().sequence, 4U);
 }
 
 TEST(StoreValueParser, RejectsInvalidTargets)
@@ -47,6 +48,7 @@
         R"({"Service":"ledger","Address":"10.1.0.1:80","Zone":"a","Slots":5,"State":"ready","ColdLeftMs":-1})",
         R"({"Service":7,"Address":"10.1.0.1:80","Zone":"a","Slots":5,"State":"ready","ColdLeftMs":0})",
         R"({"Service":"ledger","Address":"10.1.0.1:80","Zone":"a","Slots":5,"State":"ready","ColdLeftMs":0,"born":"x"})",
+        R"({"Service":"ledger","Address":"10.1.0.1:80","Zone":"a","Slots":5,"State":"ready","ColdLeftMs":0,"Sequence":"x"})",
     };
     for (const auto &text : invalid)
         EXPECT_TRUE(parseTarget(TargetKey, text, AgentPort).has_error()) << text;
