TargetDirectory: Ignore what a restored store says of a target's past

What callers would see: after the store was restored, new flows go to a target that drains (rule DRAIN), until the target reports again; a target is replaced by its predecessor in the directory, and the flows at it are asked for again.

Cause: the last publication read counted as the newest. The restored store lists a draining target as ready, the previous run of a target under its id, or the predecessor on its VM while it does not list the target itself.

Change: within an era the later revision is newer. Across eras the start of the target and the number of its report decide; an older publication only ends a withdrawal. The next write in the new era is newer again, also if the clock of the VM was set back. A withdrawal that has not taken effect no longer lets an older target replace the known one. The first listing of a run is kept when its entry is written again.

Evidence, on the code before: TestOutdatedPublications.cpp, five of seven tests failed: "DrainingTarget...": mayTakeNewFlows is true, expected false; "PreviousRun...": incarnation is 1000, expected 9000; "Predecessor...": the agent's target is 1, expected 2; "FirstListing...": revision 70, expected 20. Now all pass.

--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -1,6 +1,7 @@
 #include "LibCoordination/TargetDirectory.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Papaya {
@@ -21,16 +22,51 @@
     return existing != directory.targetOfAgent.end() && existing->second != next.id;
 }
 
-/// Returns whether the directory's target on the VM of `next` is newer than `next`.
-bool isOutdated(const TargetDirectory &directory, const PublishedTarget &next)
+/// Returns whether the directory has another target on the VM of `next` that is newer than `next`.
+bool isOlderThanSuccessor(const TargetDirectory &directory, const PublishedTarget &next, TimePoint now)
 {
     const auto existing = directory.targetOfAgent.find(next.agent);
     if (existing == directory.targetOfAgent.end() || existing->second == next.id)
         return false;
     const auto record = directory.targets.find(existing->second);
-    if (record == directory.targets.end() || record->second.withdrawnAt)
+    if (record == directory.targets.end())
         return false;
-    return next.incarnation != 0 && record->second.published.incarnation > next.incarnation;
+    const auto &known = record->second;
+    const bool isWithdrawn = known.withdrawnAt && (*known.withdrawnAt <= now || isLaterInSameEra(next.revision, known.published.revision));
+    return !isWithdrawn && next.incarnation != 0 && known.published.incarnation > next.incarnation;
+}
+
+/// Returns whether a publication is older than another one of the same target. Later revisions of one era are newer. The platform may
+/// return to older publications in the next era; the start of the target and the number of its report show which one is older then.
+bool isOlderPublication(const PublishedTarget &next, const PublishedTarget &known)
+{
+    const bool areRevisionsKnown = next.revision.number > 0 && known.revision.number > 0;
+    if (!areRevisionsKnown || isLaterInSameEra(next.revision, known.revision))
+        return false;
+    if (next.incarnation == 0 || known.incarnation == 0)
+        return false;
+    if (next.incarnation != known.incarnation)
+        return next.incarnation < known.incarnation;
+    return next.sequence && known.sequence && *next.sequence < *known.sequence;
+}
+
+/// Returns the earlier one of two revisions, or the known one. Eras follow one another.
+PlatformRevision earlierRevision(const PlatformRevision &one, const PlatformRevision &other)
+{
+    if (one.number == 0 || other.number == 0)
+        return one.number == 0 ? other : one;
+    return std::tie(one.era, one.number) < std::tie(other.era, other.number) ? one : other;
+}
+
+/// Keeps what is known about a target whose older publication was read again, since the platform was restored from a copy. Later
+/// revisions of that era are newer than the known publication.
+void confirmListing(TargetRecord &record, const PublishedTarget &older)
+{
+    record.withdrawnAt.reset();
+    if (older.revision.era > record.published.revision.era)
+        record.published.revision = older.revision;
+    if (older.incarnation == record.published.incarnation)
+        record.published.listingRevision = earlierRevision(record.published.listingRevision, older.listingRevision);
 }
 
 /// Returns when a target's address will have reached all entry daemons. Agents are found by their address, so a new run or
@@ -48,9 +84,14 @@
 
 } // namespace
 
-PublicationEffect applyPublished(TargetDirectory &directory, const PublishedTarget &target, TimePoint now)
+PublicationEffect applyPublished(TargetDirectory &directory, PublishedTarget target, TimePoint now)
 {
-    if (isOutdated(directory, target))
+    const auto known = directory.targets.find(target.id);
+    if (known != directory.targets.end() && isOlderPublication(target, known->second.published)) {
+        confirmListing(known->second, target);
+        return PublicationEffect::Unchanged;
+    }
+    if (isOlderThanSuccessor(directory, target, now))
         return PublicationEffect::Unchanged;
     const auto propagatedAt = propagationEnd(directory, target, now);
     const bool isReplacing = replacesAnother(directory, target);
@@ -71,14 +112,17 @@
     }
     auto &record = existing->second;
     const bool hasSameIncarnation = isSameIncarnation(record.published, target);
+    // An entry that expired and was written again has a new listing revision, although flows may have led to the target before.
+    if (hasSameIncarnation)
+        target.listingRevision = earlierRevision(record.published.listingRevision, target.listingRevision);
     const bool isUnchanged = record.published == target && !record.withdrawnAt;
     if (!hasSameIncarnation) {
         const auto lastMessageAt = record.lastMessageAt;
         record = TargetRecord {};
         record.lastMessageAt = lastMessageAt;
     }
-    record.published = target;
     record.coldUntil = now + target.coldTime;
+    record.published = std::move(target);
     record.propagatedAt = propagatedAt;
     record.withdrawnAt.reset();
     if (isUnchanged)
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -98,8 +98,9 @@
     Replaced,
 };
 
-/// Adds or updates a target that the platform published.
-PublicationEffect applyPublished(TargetDirectory &directory, const PublishedTarget &target, TimePoint now);
+/// Adds or updates a target that the platform published. A publication that is older than the known one of the same target, or than
+/// another target on its VM, changes nothing but the target's withdrawal.
+PublicationEffect applyPublished(TargetDirectory &directory, PublishedTarget target, TimePoint now);
 
 /// Records that the platform no longer lists a target, with effect from `withdrawnAt`. Returns false if the target is not in the
 /// directory or was already withdrawn.
