RelayEntryTask: Ask peers for their routes and targets at each start

The store of a new era is readable and old. A daemon that has just started has nothing to compare it with.

Change: a daemon asks its peers at each start, one round, until three have answered; more than one, since a peer may have started shortly before as well. Newer routes come into force; targets that the store does not list are searched, and count as withdrawn after 2.5 s unless the store lists them by then. Callers' packets wait for this round, at most for the 180 ms that they wait for the store.

--- a/Libraries/LibCoordination/RelayKnowledge.h
+++ b/Libraries/LibCoordination/RelayKnowledge.h
@@ -4,9 +4,10 @@
 
 #include <vector>
 
-/// Snapshots of routes and targets that entry daemons exchange while the platform cannot be read. A daemon that starts in that
-/// time would otherwise drop the packets of flows that it has to search for, although its peers have all the data that the
-/// search needs.
+/// Snapshots of routes and targets that entry daemons exchange when one of them starts. If the platform cannot be read in that
+/// time, the daemon would otherwise drop the packets of flows that it has to search for, although its peers have all the data that
+/// the search needs. If the platform was restored from a copy shortly before, the routes and targets that it returns may be older
+/// than those of the peers.
 namespace Papaya {
 
 /// A snapshot of the routes and targets of an entry daemon. The type is named after the `Knowledge` message that carries it.
@@ -15,12 +16,14 @@
     std::vector<PublishedTarget> targets;
 };
 
-/// Returns a snapshot for other entry daemons, or nothing before this one has read routes and targets. Targets that the
-/// platform no longer lists are left out.
+/// Returns a snapshot for other entry daemons, or nothing before this one has read routes and targets. Targets whose withdrawal
+/// is in effect are left out.
 [[nodiscard]] std::optional<RelayKnowledge> exportKnowledge(const EntryRelay &entry, TimePoint now);
 
-/// Applies the snapshot of another entry daemon, unless the snapshot has no routes or this daemon already has routes and targets
-/// from the platform or from an earlier snapshot. Returns whether the snapshot was applied.
+/// Applies the snapshot of another entry daemon, unless the snapshot has no routes. Returns whether its routes came into force.
+///
+/// If this daemon already has routes and targets, newer routes replace its own, and the targets that it lacks are added, but count
+/// as withdrawn after `relistingGrace` unless the platform lists them by then.
 ///
 /// The targets of a snapshot do not count as a current list: a flow that every agent denied is not reset before the platform
 /// itself was read (`RelayReason::HeldByNobody`). Other resets may occur with a snapshot alone:
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -79,6 +79,9 @@
     Duration answerTimeout {1'000};
     /// The same for the agent of a withdrawn target: the agent ends together with its target.
     Duration withdrawnAnswerTimeout {250};
+    /// How long a target that only another entry daemon lists may take until the platform lists it, too. It may have registered
+    /// shortly before the platform was restored from a copy.
+    Duration relistingGrace {2'500};
 };
 
 /// The targets that one entry daemon has read.
--- a/Libraries/LibTransport/KnowledgeFetchTask.cpp
+++ b/Libraries/LibTransport/KnowledgeFetchTask.cpp
@@ -15,28 +15,40 @@
 constexpr Duration ConnectTimeout {150};
 constexpr Duration ResponseTimeout {300};
 constexpr Duration RoundInterval {200};
-/// Rounds over all peers before the task stops. After that, only the platform can provide the routes and targets.
-constexpr int MaximumRounds = 60;
 
 } // namespace
 
-KnowledgeFetchTask::KnowledgeFetchTask(caf::actor_config &config, std::vector<Endpoint> peers, caf::actor mainTask)
+KnowledgeFetchTask::KnowledgeFetchTask(caf::actor_config &config,
+                                       std::vector<Endpoint> peers,
+                                       const KnowledgeFetchLimits &limits,
+                                       caf::actor mainTask)
     : caf::blocking_actor(config)
     , m_peers(std::move(peers))
+    , m_limits(limits)
     , m_mainTask(std::move(mainTask))
 {
 }
 
 void KnowledgeFetchTask::act()
 {
-    for (int round = 0; round < MaximumRounds; ++round) {
+    if (fetchSnapshots() == 0)
+        EventLog("peers_uninformed", LogLevel::Warning).with("peers", m_peers.size());
+    send(m_mainTask, PeersQueried {});
+}
+
+std::size_t KnowledgeFetchTask::fetchSnapshots()
+{
+    std::size_t snapshots = 0;
+    for (int round = 0; round < m_limits.rounds && snapshots == 0; ++round) {
+        if (round > 0)
+            std::this_thread::sleep_for(RoundInterval);
         for (const auto &peer : m_peers) {
-            if (fetchKnowledge(peer))
-                return;
+            snapshots += fetchKnowledge(peer) ? 1 : 0;
+            if (snapshots >= m_limits.snapshots)
+                break;
         }
-        std::this_thread::sleep_for(RoundInterval);
     }
-    EventLog("peers_uninformed", LogLevel::Warning).with("peers", m_peers.size());
+    return snapshots;
 }
 
 bool KnowledgeFetchTask::fetchKnowledge(const Endpoint &peer)
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace Papaya {
@@ -21,6 +22,10 @@
 /// which are buffered in the socket meanwhile. The time is below 200 ms, after which callers retransmit a SYN. If the platform
 /// has not answered by then, it is slow or unreachable, and other entry daemons are queried.
 constexpr Duration InitialReadTimeout {180};
+/// The peers queried at the start. More than one, since a peer may have started shortly before as well.
+constexpr KnowledgeFetchLimits StartFetch {3, 1};
+/// The peers queried while the platform cannot be read. After that, only the platform can provide the routes and targets.
+constexpr KnowledgeFetchLimits OutageFetch {1, 60};
 /// How often the subscriptions to the agents' load reports are renewed.
 constexpr Duration SubscriptionInterval {2'000};
 /// A stopping daemon keeps forwarding for this long. The platform's routers check its readiness twice a second and stop sending
@@ -64,6 +69,7 @@
 void RelayEntryTask::act()
 {
     m_relay.startedAt = currentTime();
+    queryPeers(StartFetch);
     m_poll.addReader(m_daemonSocket.descriptor(), DaemonToken);
     while (!m_isStopped) {
         m_poll.wait(PollTimeout, [&](std::uint64_t token) {
@@ -84,36 +90,48 @@
 
 void RelayEntryTask::startReadingCallers()
 {
-    if (m_isReadingCallers || (!hasRoutesAndTargets(m_relay) && currentTime() - m_relay.startedAt < InitialReadTimeout))
+    const bool isInformed = hasRoutesAndTargets(m_relay) && !m_isQueryingPeers;
+    if (m_isReadingCallers || (!isInformed && currentTime() - m_relay.startedAt < InitialReadTimeout))
         return;
     m_isReadingCallers = true;
     m_poll.addReader(m_callerSocket.descriptor(), CallersToken);
 }
 
-void RelayEntryTask::queryPeers()
+void RelayEntryTask::queryPeersIfUninformed()
 {
-    if (m_hasQueriedPeers || hasRoutesAndTargets(m_relay) || m_settings.peers.empty()
-        || currentTime() - m_relay.startedAt < InitialReadTimeout)
+    if (m_hasQueriedPeersAgain || hasRoutesAndTargets(m_relay) || currentTime() - m_relay.startedAt < InitialReadTimeout)
         return;
-    m_hasQueriedPeers = true;
+    m_hasQueriedPeersAgain = true;
+    queryPeers(OutageFetch);
+}
+
+void RelayEntryTask::queryPeers(const KnowledgeFetchLimits &limits)
+{
     std::vector<Endpoint> peers;
     for (const auto &peer : m_settings.peers) {
         if (peer.address != m_settings.operators.address)
             peers.push_back({peer.address, m_settings.operators.port});
     }
+    if (peers.empty())
+        return;
+    // Daemons begin with different peers, so that the queries are spread over the peers.
+    const auto first = static_cast<std::ptrdiff_t>(hashOf(m_settings.name) % peers.size());
+    std::rotate(peers.begin(), peers.begin() + first, peers.end());
     EventLog("peers_asked").with("peers", peers.size());
-    system().spawn<KnowledgeFetchTask, caf::detached>(std::move(peers), caf::actor_cast<caf::actor>(this));
+    m_isQueryingPeers = true;
+    system().spawn<KnowledgeFetchTask, caf::detached>(std::move(peers), limits, caf::actor_cast<caf::actor>(this));
 }
 
 void RelayEntryTask::adoptPeerKnowledge(const PeerKnowledge &peerKnowledge)
 {
+    const auto targetsBefore = m_relay.directory.targets.size();
     const bool isAdopted = importKnowledge(m_relay, *peerKnowledge.knowledge, currentTime(), *this);
     EventLog("knowledge_from_peer")
         .with("peer", toString(peerKnowledge.peer))
         .with("version", peerKnowledge.knowledge->routes.version)
         .with("targets", peerKnowledge.knowledge->targets.size())
         .with("outcome", isAdopted ? "taken" : "not_needed");
-    if (isAdopted)
+    if (isAdopted || m_relay.directory.targets.size() != targetsBefore)
         subscribeToAgents();
 }
 
@@ -134,6 +152,7 @@
                 [&](const TargetWithdrawn &withdrawn) { withdrawTarget(withdrawn.target, withdrawn.grace); },
                 [&](const RelaySettingsChanged &) { EventLog("settings_changed").with("applied", "at_next_start"); },
                 [&](const PeerKnowledge &peerKnowledge) { adoptPeerKnowledge(peerKnowledge); },
+                [&](PeersQueried) { m_isQueryingPeers = false; },
                 [&](KnowledgeRequest) {
                     const auto knowledge = exportKnowledge(m_relay, currentTime());
                     return KnowledgeReport {knowledge ? encodeKnowledge(*knowledge) : std::string {}};
@@ -289,7 +308,7 @@
 {
     const auto now = currentTime();
     onEntryTick(m_relay, now, *this);
-    queryPeers();
+    queryPeersIfUninformed();
     if (now - m_subscribedAt >= SubscriptionInterval)
         subscribeToAgents();
     if (const auto suppressed = m_routineLogLimiter.takeSuppressed() + m_failureLogLimiter.takeSuppressed(); suppressed > 0)
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -40,10 +40,13 @@
     void applyTargetList(const TargetsListed &listed);
     void applyPublishedTarget(const PublishedTarget &target);
     void withdrawTarget(MemberId target, Duration grace);
-    /// Starts reading callers' packets once routes and targets have been read, or InitialReadTimeout after the start.
+    /// Starts reading callers' packets once routes and targets have been read and the peers were queried, or InitialReadTimeout after
+    /// the start.
     void startReadingCallers();
-    /// Requests routes and targets from other entry daemons, once, if they have not been read within InitialReadTimeout after the start.
-    void queryPeers();
+    /// Requests routes and targets from other entry daemons. Those of the platform may be older if it was restored from a copy.
+    void queryPeers(const KnowledgeFetchLimits &limits);
+    /// Queries the peers again, once, if routes and targets have not been read within InitialReadTimeout after the start.
+    void queryPeersIfUninformed();
     void adoptPeerKnowledge(const PeerKnowledge &peerKnowledge);
     void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
@@ -69,7 +72,9 @@
     std::array<std::uint64_t, RelayReasonCount> m_decisionCounts {};
     std::uint64_t m_packetCount = 0;
     bool m_isReadingCallers = false;
-    bool m_hasQueriedPeers = false;
+    /// Whether a KnowledgeFetchTask is querying the peers.
+    bool m_isQueryingPeers = false;
+    bool m_hasQueriedPeersAgain = false;
     TimePoint m_subscribedAt;
     std::optional<TimePoint> m_stopAt;
     bool m_isStopped = false;
--- a/Tests/LibCoordination/TestRelayKnowledge.cpp
+++ b/Tests/LibCoordination/TestRelayKnowledge.cpp
@@ -98,6 +98,49 @@
     EXPECT_EQ(m_output.resets, 0);
 }
 
+// Guards against a daemon that starts after the platform was restored from a copy, and serves the older routes of the copy.
+TEST_F(RelayKnowledgeTest, SnapshotWithNewerRoutesReplacesRoutesOfRestoredPlatform)
+{
+    ASSERT_TRUE(setRoutes(m_uninitialized, makeRoutes(4), Start));
+    markTargetsListed(m_uninitialized, Start);
+    const auto knowledge = exportKnowledge(m_initialized, Start);
+    EXPECT_TRUE(importKnowledge(m_uninitialized, *knowledge, Start, m_output));
+    EXPECT_EQ(m_uninitialized.routes.version, 5U);
+}
+
+// Guards against searches that leave out a target which the restored platform does not list yet.
+TEST_F(RelayKnowledgeTest, SnapshotAddsTargetsThatPlatformMayListAgain)
+{
+    ASSERT_TRUE(setRoutes(m_uninitialized, makeRoutes(5), Start));
+    markTargetsListed(m_uninitialized, Start);
+    const auto knowledge = exportKnowledge(m_initialized, Start);
+    (void)importKnowledge(m_uninitialized, *knowledge, Start, m_output);
+    ASSERT_TRUE(m_uninitialized.directory.targets.contains(1));
+    const auto &record = m_uninitialized.directory.targets.at(1);
+    EXPECT_TRUE(mayTakeNewFlows(record, Start + Duration(2'000)));
+    EXPECT_FALSE(mayTakeNewFlows(record, Start + Duration(3'000)));
+}
+
+// Guards against a target that counts as listed for good, because a peer had not read its withdrawal yet.
+TEST_F(RelayKnowledgeTest, SnapshotDoesNotEndWithdrawal)
+{
+    ASSERT_TRUE(setRoutes(m_uninitialized, makeRoutes(5), Start));
+    (void)onTargetPublished(m_uninitialized, makeTarget(1), Start, m_output);
+    markTargetsListed(m_uninitialized, Start);
+    ASSERT_TRUE(applyWithdrawn(m_uninitialized.directory, 1, Start));
+    const auto knowledge = exportKnowledge(m_initialized, Start);
+    (void)importKnowledge(m_uninitialized, *knowledge, Start, m_output);
+    EXPECT_FALSE(mayTakeNewFlows(m_uninitialized.directory.targets.at(1), Start));
+}
+
+// Guards against a snapshot without the targets that the restored platform does not list yet.
+TEST_F(RelayKnowledgeTest, SnapshotHasTargetsWhoseWithdrawalIsNotInEffect)
+{
+    ASSERT_TRUE(applyWithdrawn(m_initialized.directory, 1, Start + Duration(2'500)));
+    EXPECT_EQ(exportKnowledge(m_initialized, Start)->targets.size(), 1U);
+    EXPECT_TRUE(exportKnowledge(m_initialized, Start + Duration(2'500))->targets.empty());
+}
+
 } // namespace
 
 } // namespace Papaya
--- a/Tests/RelayWhole/TestStoreRestore.cpp
+++ b/Tests/RelayWhole/TestStoreRestore.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <thread>
 
 /// End-to-end tests of entry daemons whose store is restored from a copy some seconds old.
@@ -18,6 +19,7 @@
 constexpr Duration CopySeparation {10};
 /// After this time, all daemons have read earlier changes of the store and wait for the next one.
 constexpr Duration SettleTime {1'500};
+constexpr Duration StartLimit {10'000};
 
 class StoreRestore : public testing::Test
 {
@@ -59,6 +61,14 @@
             m_deployment.store().put("other/key", std::to_string(change));
     }
 
+    void restart(const std::string &entry)
+    {
+        m_deployment.signal(entry, SIGKILL);
+        m_deployment.waitForExit(entry);
+        m_deployment.start(entry);
+        ASSERT_TRUE(RelayDeployment::waitUntil([&] { return m_deployment.isReady(entry); }, StartLimit));
+    }
+
     RelayDeployment m_deployment {PAPAYA_PROGRAMS, 3, {{"ledger", 1}}, {PeerList::Configured}};
     TimePoint m_copyTakenAt;
 };
@@ -78,6 +88,17 @@
     EXPECT_TRUE(waitUntilInForce(2));
 }
 
+// Guards against a confirmed configuration that comes back older: a daemon that starts after a restore reads the old copy.
+TEST_F(StoreRestore, EntryDaemonStartedAfterRestoreHasRoutesOfItsPeers)
+{
+    takeCopy();
+    m_deployment.publishRoutes(1);
+    ASSERT_TRUE(waitUntilInForce(2));
+    restore();
+    restart("entry-2");
+    EXPECT_TRUE(waitUntilInForce(2));
+}
+
 // Guards against running daemons that return to the configuration of the copy, or that do not follow the next one.
 TEST_F(StoreRestore, RunningEntryDaemonsKeepNewerRoutesAndFollowTheNext)
 {
