TestRelaySoak: Restore the store from a copy as one of the faults

At the end every entry daemon must have the newest routes within 3 s. Whether resets are allowed is now decided by the thread that judges them: the thread that injects faults blocks while it waits for the exit of a process.

--- a/Tests/RelaySoak/SoakPlan.h
+++ b/Tests/RelaySoak/SoakPlan.h
@@ -28,6 +28,8 @@
     LossyFabric,
     /// A new version of the configuration adds routes that no flow uses, and a later version removes them.
     ChangeRoutes,
+    /// The store rejects all requests. At the end of the fault it returns from a copy, and everything is written again after a delay.
+    RestoreStore,
 };
 
 /// One injected fault.
@@ -38,6 +40,10 @@
     /// The time of the fault since the start of the soak.
     Duration at {0};
     Duration duration {0};
+    /// RestoreStore only: the age of the copy at the start of the fault, and the time from the end of the fault until everything is
+    /// written again.
+    Duration copyAge {0};
+    Duration rewriteDelay {0};
 };
 
 /// The number of daemons in a soak and its duration.
@@ -47,7 +53,8 @@
     Duration duration {9'000};
 };
 
-/// Generates a random sequence of overlapping faults, ordered by time. The same seed gives the same faults.
+/// Generates a random sequence of overlapping faults. The same seed gives the same faults. The restores of the store are drawn after
+/// the other faults, which overlap them.
 [[nodiscard]] std::vector<SoakFault> generateSoakFaults(std::uint64_t seed, const SoakSize &size);
 
 /// Returns whether a fault may break flows, because the agent of their target is unavailable for longer than the timeout
--- a/Tests/RelaySoak/TestRelaySoak.cpp
+++ b/Tests/RelaySoak/TestRelaySoak.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <map>
+#include <mutex>
 #include <thread>
 
 /// A soak test of the relaying daemons as processes, with faults at random times. The environment variable
@@ -31,6 +32,8 @@
 /// Every flow must receive answers again within this time after the last fault. The users require recovery within twelve seconds.
 constexpr Duration RecoveryTimeout {12'000};
 constexpr Duration SettleTime {1'000};
+/// The users require that a configuration is in force at all daemons within this time.
+constexpr Duration ApplyLimit {3'000};
 
 /// Injects the faults at their times. Runs in a separate thread, since waiting for the exit of a process would block the callers.
 class FaultRunner
@@ -43,8 +46,11 @@
     {
         for (const auto &fault : faults) {
             const bool isRestart = fault.kind == SoakFaultKind::RestartEntry;
-            m_steps.emplace(fault.at, Step {fault, false});
-            m_steps.emplace(fault.at + (isRestart ? RestartTime : fault.duration), Step {fault, true});
+            const auto end = fault.at + (isRestart ? RestartTime : fault.duration);
+            m_steps.emplace(fault.at, Step {fault, StepKind::Begin});
+            m_steps.emplace(end, Step {fault, StepKind::End});
+            if (fault.kind == SoakFaultKind::RestoreStore)
+                m_steps.emplace(end + fault.rewriteDelay, Step {fault, StepKind::Rewrite});
         }
     }
 
@@ -52,28 +58,53 @@
     {
         const auto start = currentTime();
         for (const auto &[at, step] : m_steps) {
-            while (currentTime() - start < at) {
-                updateResetsAllowed();
-                std::this_thread::sleep_for(StepInterval);
-            }
-            if (step.isEnd)
-                end(step.fault);
-            else
-                begin(step.fault);
+            std::this_thread::sleep_until(start + at);
+            carryOut(step);
         }
-        const auto end = currentTime();
-        while (currentTime() - end < ResetGracePeriod) {
-            updateResetsAllowed();
-            std::this_thread::sleep_for(StepInterval);
+        std::this_thread::sleep_for(ResetGracePeriod);
+    }
+
+    /// Allows resets while an agent has been unavailable for HarmlessAgentOutage or longer, and for ResetGracePeriod after the end of
+    /// its outage. Called by the thread of the callers, because run() may block while it waits for the exit of a process.
+    void updateResetsAllowed()
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = currentTime();
+        for (const auto &[name, since] : m_unavailableSince) {
+            if (now - since >= HarmlessAgentOutage)
+                m_resetsAllowedUntil = now + ResetGracePeriod;
         }
+        m_callers.setResetsAllowed(now < m_resetsAllowedUntil);
     }
 
 private:
+    enum class StepKind {
+        Begin,
+        End,
+        /// After a restore of the store, the operators and the targets write everything again.
+        Rewrite,
+    };
+
     struct Step {
         SoakFault fault;
-        bool isEnd = false;
+        StepKind kind = StepKind::Begin;
     };
 
+    void carryOut(const Step &step)
+    {
+        switch (step.kind) {
+        case StepKind::Begin:
+            begin(step.fault);
+            break;
+        case StepKind::End:
+            end(step.fault);
+            break;
+        case StepKind::Rewrite:
+            m_deployment.rewriteStore();
+            break;
+        }
+    }
+
     static std::string nameOf(const SoakFault &fault)
     {
         const bool isAgentFault = fault.kind == SoakFaultKind::KillAgent || fault.kind == SoakFaultKind::PauseAgent;
@@ -85,14 +116,14 @@
         const auto name = nameOf(fault);
         switch (fault.kind) {
         case SoakFaultKind::KillAgent:
-            m_unavailableSince.try_emplace(name, currentTime());
+            markUnavailable(name);
             kill(name);
             break;
         case SoakFaultKind::KillEntry:
             kill(name);
             break;
         case SoakFaultKind::PauseAgent:
-            m_unavailableSince.try_emplace(name, currentTime());
+            markUnavailable(name);
             m_deployment.signal(name, SIGSTOP);
             break;
         case SoakFaultKind::PauseEntry:
@@ -107,6 +138,9 @@
         case SoakFaultKind::ChangeRoutes:
             m_deployment.publishRoutes(1 + fault.index);
             break;
+        case SoakFaultKind::RestoreStore:
+            m_deployment.store().setDown(true);
+            break;
         default:
             m_proxy.setMode(modeOf(fault.kind));
             break;
@@ -137,12 +171,16 @@
         case SoakFaultKind::ChangeRoutes:
             m_deployment.publishRoutes(0);
             break;
+        case SoakFaultKind::RestoreStore:
+            m_deployment.store().restore(currentTime() - fault.duration - fault.copyAge);
+            m_deployment.store().setDown(false);
+            break;
         default:
             m_proxy.setMode(ProxyMode::Pass);
             break;
         }
         if (fault.kind == SoakFaultKind::KillAgent || fault.kind == SoakFaultKind::PauseAgent)
-            m_unavailableSince.erase(name);
+            markAvailable(name);
     }
 
     static ProxyMode modeOf(SoakFaultKind kind)
@@ -173,22 +211,23 @@
             m_deployment.start(name);
     }
 
-    /// Allows resets while an agent has been unavailable for HarmlessAgentOutage or longer, and for ResetGracePeriod after the end of
-    /// its outage.
-    void updateResetsAllowed()
+    void markUnavailable(const std::string &name)
     {
-        const auto now = currentTime();
-        for (const auto &[name, since] : m_unavailableSince) {
-            if (now - since >= HarmlessAgentOutage)
-                m_resetsAllowedUntil = now + ResetGracePeriod;
-        }
-        m_callers.setResetsAllowed(now < m_resetsAllowedUntil);
+        const std::lock_guard lock(m_mutex);
+        m_unavailableSince.try_emplace(name, currentTime());
+    }
+
+    void markAvailable(const std::string &name)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_unavailableSince.erase(name);
     }
 
     RelayDeployment &m_deployment;
     StoreProxy &m_proxy;
     SoakCallers &m_callers;
     std::multimap<Duration, Step> m_steps;
+    std::mutex m_mutex;
     std::map<std::string, TimePoint> m_unavailableSince;
     TimePoint m_resetsAllowedUntil;
 };
@@ -212,6 +251,17 @@
     return seeds;
 }
 
+/// Returns whether all entry daemons have the newest routes in force.
+bool haveNewestRoutes(const RelayDeployment &deployment)
+{
+    const auto version = "\"revision\":" + std::to_string(deployment.routesVersion()) + ",";
+    for (const auto &entry : deployment.entryNames()) {
+        if (deployment.readOperatorEndpoint(entry, "/status").find(version) == std::string::npos)
+            return false;
+    }
+    return true;
+}
+
 class RelaySoak : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -230,12 +280,15 @@
         runner.run();
         isDone = true;
     });
-    while (!isDone)
-        callers.run(SettleTime / 10);
+    while (!isDone) {
+        runner.updateResetsAllowed();
+        callers.run(StepInterval);
+    }
     thread.join();
     const auto answered = callers.awaitAnswersOnAllFlows(RecoveryTimeout);
     const auto &outcome = callers.outcome();
     EXPECT_EQ(answered, callers.flowCount());
+    EXPECT_TRUE(RelayDeployment::waitUntil([&] { return haveNewestRoutes(deployment); }, ApplyLimit));
     EXPECT_EQ(outcome.wrongAnswers, 0U);
     EXPECT_EQ(outcome.brokenFlows, 0U);
     EXPECT_GT(outcome.answers, Flows);
