--- a/Tests/Platform/TestStoreReader.cpp
+++ b/Tests/Platform/TestStoreReader.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 #include <thread>
 
@@ -79,6 +80,10 @@
     {
         if (const auto *routes = std::get_if<RoutesReceived>(&update))
             m_version = routes->routes->version;
+        else if (const auto *current = std::get_if<TargetsCurrent>(&update))
+            m_currentAsOf = std::max(m_currentAsOf, current->asOf);
+        else if (const auto *watch = std::get_if<WatchStateChanged>(&update))
+            m_isWatching = watch->watchStartedAt.has_value();
         else if (const auto *list = std::get_if<TargetsListed>(&update)) {
             ++m_lists;
             m_grace = list->withdrawalGrace;
@@ -107,6 +112,10 @@
     Duration m_grace {0};
     int m_lists = 0;
     TimePoint m_copyTakenAt;
+    /// The time up to which the reader has reported all changes of the targets.
+    TimePoint m_currentAsOf;
+    /// Whether the reader has reported that it waits for changes.
+    bool m_isWatching = false;
 };
 
 // Guards against a watch that continues in a restored store: once revisions were issued again beyond the received one, the store
@@ -178,6 +187,38 @@
     EXPECT_GE(m_grace, Duration(2'000));
 }
 
+// Guards against a list that counts as complete although targets that registered after the copy was made are missing: a search that
+// asked all others would then reset the flows of these targets.
+TEST_F(StoreReaderTest, ListIsNotCurrentUntilTargetsHaveRegisteredAgain)
+{
+    readUntilCurrent();
+    takeCopy();
+    m_store.put(targetKey(2), targetText(2));
+    readUntilCurrent();
+    const auto restoredAt = currentTime();
+    restore();
+    while (currentTime() - restoredAt < Duration(2'000)) {
+        readUntilCurrent();
+        EXPECT_LE(m_currentAsOf, restoredAt);
+        EXPECT_FALSE(m_isWatching);
+    }
+    const auto hasCurrentList = [&] { return m_currentAsOf > restoredAt && m_isWatching; };
+    while (!hasCurrentList() && currentTime() - restoredAt < Duration(4'000))
+        readUntilCurrent();
+    EXPECT_TRUE(hasCurrentList());
+}
+
+// Guards against routes that end with a configuration that cannot be used, for example after a restore.
+TEST_F(StoreReaderTest, UnusableConfigurationIsNotReported)
+{
+    readUntilCurrent();
+    for (const auto *text : {"", "{", R"({"Version":9})", R"({"Version":9,"Routes":[{"Name":"r"}]})"}) {
+        m_store.put(std::string(ConfigurationKeyText), text);
+        readUntilCurrent();
+        EXPECT_EQ(m_version, 1U) << text;
+    }
+}
+
 // Guards against a watch that returns changes only at its end.
 TEST_F(StoreReaderTest, WaitingWatchReportsChange)
 {
