EchoTarget: Listen on the TCP port of the target

Cause: an agent whose target leaves packets unanswered checks the target's TCP port. The stand-in of the target had only the UDP socket, so a test process that was slow for a moment looked like a target that has terminated. A real target serves health checks over TCP at the same address.

Change: the stand-in listens there, and accepts and closes connections. No check or bound of the soak changes; a terminated target is still found by its closed port.

--- a/Tests/RelayDeployment/EchoTarget.cpp
+++ b/Tests/RelayDeployment/EchoTarget.cpp
@@ -1,6 +1,7 @@
 #include "EchoTarget.h"
 
 #include "LibTransport/EventPoll.h"
+#include "LibTransport/StreamSocket.h"
 #include "WirePacket.h"
 #include "platform/PacketCodec.h"
 
@@ -15,6 +16,7 @@
 
 EchoTarget::EchoTarget(const Endpoint &application, const Endpoint &outbound, std::string name)
     : m_socket(DatagramSocket::bind(application).value())
+    , m_listener(listenStream(application).value())
     , m_outbound(outbound)
     , m_name(std::move(name))
     , m_thread([this] { run(); })
@@ -31,9 +33,12 @@
 {
     EventPoll poll;
     poll.addReader(m_socket.descriptor(), 1);
-    while (!m_isStopping)
+    while (!m_isStopping) {
         poll.wait(PollInterval,
                   [&](std::uint64_t) { m_socket.receive([&](std::span<const std::byte> packet, const Endpoint &) { receive(packet); }); });
+        while (acceptStream(m_listener)) {
+        }
+    }
 }
 
 void EchoTarget::receive(std::span<const std::byte> packet)
--- a/Tests/RelayDeployment/EchoTarget.h
+++ b/Tests/RelayDeployment/EchoTarget.h
@@ -2,6 +2,7 @@
 
 #include "LibState/PacketSummary.h"
 #include "LibTransport/DatagramSocket.h"
+#include "LibTransport/FileDescriptor.h"
 
 #include <atomic>
 #include <thread>
@@ -10,7 +11,8 @@
 namespace Papaya {
 
 /// A target on loopback that terminates flows itself and responds to each request with `REQUEST@NAME`. A packet of a flow
-/// that this target has not opened is sent back to the agent, marked as returned, and counted.
+/// that this target has not opened is sent back to the agent, marked as returned, and counted. Its TCP port is open, so that agents
+/// which check it find that the target runs.
 class EchoTarget
 {
 public:
@@ -34,6 +36,8 @@
     void send(const PacketSummary &summary, std::string_view data = {});
 
     DatagramSocket m_socket;
+    /// Connections to the target's TCP port are accepted and closed.
+    FileDescriptor m_listener;
     Endpoint m_outbound;
     std::string m_name;
     std::unordered_map<FlowKey, Flow> m_flows;
