--- a/Libraries/LibCoordination/SearchPlan.cpp
+++ b/Libraries/LibCoordination/SearchPlan.cpp
@@ -26,7 +26,7 @@
 /// `relistingTime`, and is not cold then.
 bool wasListedAfterRoutes(const EntryRelay &entry, const TargetRecord &record)
 {
-    if (entry.routes.changeRevision == 0 || record.published.listingRevision <= entry.routes.changeRevision)
+    if (!isLaterInSameEra(record.published.listingRevision, entry.routes.changeRevision))
         return false;
     const bool wasReadLater = entry.firstTargetListAsOf && record.firstReadAt - *entry.firstTargetListAsOf >= entry.limits.relistingTime;
     return record.wasColdWhenFirstRead || wasReadLater;
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibState/Clock.h"
+#include "LibState/PlatformRevision.h"
 #include "LibState/RelayMessages.h"
 
 #include <optional>
@@ -29,9 +30,13 @@
     Duration coldTime {0};
     /// Distinguishes two runs of the target; 0 where the platform gives none.
     Incarnation incarnation = 0;
-    /// The platform's revision at which the target was first listed; 0 if unknown. A target that is listed again after its entry
-    /// expired keeps the revision in the directory.
-    std::uint64_t listingRevision = 0;
+    /// The number of the target's report, which increases during one run of the target; empty where the platform gives none.
+    std::optional<std::uint64_t> sequence;
+    /// The platform's revision of this publication.
+    PlatformRevision revision;
+    /// The platform's revision at which the target was first listed. A target that is listed again after its entry expired keeps the
+    /// revision in the directory.
+    PlatformRevision listingRevision;
 
     bool operator==(const PublishedTarget &) const = default;
 };
@@ -93,6 +98,9 @@
     Duration queryInterval {200};
     /// An agent is unreachable only after this many unanswered queries, since any of them or its answer may be lost.
     int minimumUnansweredQueries = 5;
+    /// How long a target that only another entry daemon lists may take until the platform lists it, too. It may have registered
+    /// shortly before the platform was restored from a copy.
+    Duration relistingGrace {2'500};
 };
 
 /// The targets that one entry daemon has read.
@@ -114,8 +122,9 @@
     Replaced,
 };
 
-/// Adds or updates a target that the platform published.
-PublicationEffect applyPublished(TargetDirectory &directory, const PublishedTarget &target, TimePoint now);
+/// Adds or updates a target that the platform published. A publication that is older than the known one of the same target, or than
+/// another target on its VM, changes nothing but the target's withdrawal.
+PublicationEffect applyPublished(TargetDirectory &directory, PublishedTarget target, TimePoint now);
 
 /// Records that the platform no longer lists a target, with effect from `withdrawnAt`. Returns false if the target is not in the
 /// directory or was already withdrawn.
--- a/Libraries/LibEmulator/EmulatedStore.cpp
+++ b/Libraries/LibEmulator/EmulatedStore.cpp
@@ -9,7 +9,8 @@
     const auto revision = ++m_state.revision;
     const auto existing = m_state.entries.find(target.id);
     const bool isListed = existing != m_state.entries.end() && !existing->second.isDeleted;
-    target.listingRevision = isListed ? existing->second.target.listingRevision : revision;
+    target.revision.number = revision;
+    target.listingRevision.number = isListed ? existing->second.target.listingRevision.number : revision;
     m_state.entries[target.id] = {target, revision, false};
     recordChange();
 }
@@ -26,7 +27,7 @@
 
 void EmulatedStore::setRoutes(RouteTable routes)
 {
-    routes.changeRevision = ++m_state.revision;
+    routes.changeRevision.number = ++m_state.revision;
     m_state.routes = std::move(routes);
     recordChange();
 }
@@ -59,7 +60,7 @@
     std::vector<PublishedTarget> targets;
     for (const auto &[id, entry] : m_state.entries) {
         if (!entry.isDeleted)
-            targets.push_back(entry.target);
+            targets.push_back(inCurrentEra(entry.target));
     }
     return targets;
 }
@@ -69,13 +70,27 @@
     std::vector<StoreEntry> changes;
     for (const auto &[id, entry] : m_state.entries) {
         if (entry.revision > revision)
-            changes.push_back(entry);
+            changes.push_back({inCurrentEra(entry.target), entry.revision, entry.isDeleted});
     }
     std::sort(
         changes.begin(), changes.end(), [](const StoreEntry &left, const StoreEntry &right) { return left.revision < right.revision; });
     return changes;
 }
 
+RouteTable EmulatedStore::routes() const
+{
+    auto routes = m_state.routes;
+    routes.changeRevision.era = m_epoch;
+    return routes;
+}
+
+PublishedTarget EmulatedStore::inCurrentEra(PublishedTarget target) const
+{
+    target.revision.era = m_epoch;
+    target.listingRevision.era = m_epoch;
+    return target;
+}
+
 void EmulatedStore::recordChange()
 {
     m_state.at = m_events.now();
--- a/Libraries/LibEmulator/EmulatedStore.h
+++ b/Libraries/LibEmulator/EmulatedStore.h
@@ -42,9 +42,9 @@
 
     [[nodiscard]] bool isReachable() const { return m_isReachable; }
     [[nodiscard]] std::uint64_t revision() const { return m_state.revision; }
-    /// Number of restores so far.
+    /// Number of the current era: 1, and one more after each restore.
     [[nodiscard]] std::uint64_t epoch() const { return m_epoch; }
-    [[nodiscard]] const RouteTable &routes() const { return m_state.routes; }
+    [[nodiscard]] RouteTable routes() const;
     [[nodiscard]] bool lists(MemberId target) const;
     [[nodiscard]] std::vector<PublishedTarget> targets() const;
     [[nodiscard]] std::vector<StoreEntry> changesAfter(std::uint64_t revision) const;
@@ -57,13 +57,15 @@
         RouteTable routes;
     };
 
+    /// Returns a target with its revisions in the current era of the store, as a reader gets it.
+    [[nodiscard]] PublishedTarget inCurrentEra(PublishedTarget target) const;
     void recordChange();
 
     EventQueue &m_events;
     std::vector<Listener> m_listeners;
     State m_state;
     std::vector<State> m_history;
-    std::uint64_t m_epoch = 0;
+    std::uint64_t m_epoch = 1;
     bool m_isReachable = true;
 };
 
--- a/Libraries/LibTransport/StreamSocket.cpp
+++ b/Libraries/LibTransport/StreamSocket.cpp
@@ -85,22 +85,26 @@
     return errno == ENOTCONN ? ConnectProgress::Pending : ConnectProgress::Failed;
 }
 
-bool isTcpPortClosed(const Endpoint &endpoint, Duration limit)
+PortState probeTcpPort(const Endpoint &endpoint, Duration limit)
 {
     const auto stream = openStream();
     if (!stream.isOpen())
-        return false;
+        return PortState::Unknown;
     const auto address = toSocketAddress(endpoint);
     if (::connect(stream.get(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0)
-        return false;
+        return PortState::Open;
     if (errno != EINPROGRESS)
-        return errno == ECONNREFUSED;
+        return errno == ECONNREFUSED ? PortState::Closed : PortState::Unknown;
     pollfd pollEntry {stream.get(), POLLOUT, 0};
     if (::poll(&pollEntry, 1, static_cast<int>(limit.count())) <= 0)
-        return false;
+        return PortState::Unknown;
     int error = 0;
     socklen_t size = sizeof(error);
-    return ::getsockopt(stream.get(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == ECONNREFUSED;
+    if (::getsockopt(stream.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+        return PortState::Unknown;
+    if (error == 0)
+        return PortState::Open;
+    return error == ECONNREFUSED ? PortState::Closed : PortState::Unknown;
 }
 
 StreamTransfer readStream(const FileDescriptor &stream, std::span<std::byte> buffer)
--- a/Libraries/LibTransport/StreamSocket.h
+++ b/Libraries/LibTransport/StreamSocket.h
@@ -48,9 +48,18 @@
 /// Returns the state of a connection attempt.
 [[nodiscard]] ConnectProgress connectProgress(const FileDescriptor &stream);
 
-/// Connects and closes the connection, to find out whether a process listens on `endpoint`. Blocks at most for `limit`. Returns true
-/// only if the connection was refused: an attempt that fails otherwise, or has not completed by then, says nothing about the port.
-[[nodiscard]] bool isTcpPortClosed(const Endpoint &endpoint, Duration limit);
+/// Whether a process listens on a TCP port.
+enum class PortState {
+    /// A connection was accepted.
+    Open,
+    /// A connection was refused.
+    Closed,
+    /// The attempt failed otherwise, or did not complete in time, which says nothing about the port.
+    Unknown,
+};
+
+/// Connects and closes the connection, to find out whether a process listens on `endpoint`. Blocks at most for `limit`.
+[[nodiscard]] PortState probeTcpPort(const Endpoint &endpoint, Duration limit);
 
 /// Reads the available bytes, up to the size of the buffer.
 [[nodiscard]] StreamTransfer readStream(const FileDescriptor &stream, std::span<std::byte> buffer);
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -117,7 +117,7 @@
 void RelayAgentTask::checkTarget(std::string_view cause)
 {
     m_targetCheckedAt = currentTime();
-    const bool isClosed = isTcpPortClosed(m_settings.target, TargetCheckTimeout);
+    const bool isClosed = probeTcpPort(m_settings.target, TargetCheckTimeout) == PortState::Closed;
     if (isClosed)
         onPortClosed(m_relay, currentTime(), *this);
     EventLog("target_checked").with("cause", cause).with("outcome", isClosed ? "closed" : "open");
--- a/Tests/Deployment/Deployment.cpp
+++ b/Tests/Deployment/Deployment.cpp
@@ -422,7 +422,7 @@
 
 bool Deployment::areTargetsListening() const
 {
-    const auto isListening = [](const Endpoint &endpoint) { return probeTcpPort(endpoint, ProbeTimeout) == ConnectProgress::Connected; };
+    const auto isListening = [](const Endpoint &endpoint) { return probeTcpPort(endpoint, ProbeTimeout) == PortState::Open; };
     return std::all_of(m_targets.begin(), m_targets.end(), [&](const auto &target) {
         return isListening(target.second.target) && isListening(target.second.journal);
     });
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -402,7 +402,7 @@
     EXPECT_FALSE(plan.agents[1].mayReceivePackets);
     // A target that was listed after the current routes were written cannot hold flows of earlier routes.
     auto later = makeTarget(3, "catalogue");
-    later.listingRevision = 11;
+    later.listingRevision.number = 11;
     publish(later);
     EXPECT_EQ(planSearch(m_entry, Flow, at(1'000)).agents.size(), 2U);
     EXPECT_EQ(planSearch(m_entry, Flow, at(63'000)).agents.size(), 1U);
@@ -415,7 +415,7 @@
     auto target = makeTarget(2, "catalogue");
     publish(target);
     (void)applyWithdrawn(m_entry.directory, target.id, at(500));
-    target.listingRevision = 11;
+    target.listingRevision.number = 11;
     publish(target, 1'000);
     EXPECT_EQ(planSearch(m_entry, Flow, at(1'100)).agents.size(), 2U);
     // Another incarnation is new.
@@ -430,16 +430,16 @@
     m_entry.firstTargetListAsOf = Start;
     publish(makeTarget(1));
     auto target = makeTarget(2, "catalogue");
-    target.listingRevision = 11;
+    target.listingRevision.number = 11;
     publish(target, 1'800);
     EXPECT_EQ(planSearch(m_entry, Flow, at(1'900)).agents.size(), 2U);
     // A target that has just started is new, and so is one that is listed later.
     auto started = makeTarget(3, "catalogue");
-    started.listingRevision = 12;
+    started.listingRevision.number = 12;
     started.coldTime = Duration(3'000);
     publish(started, 1'900);
     auto later = makeTarget(4, "catalogue");
-    later.listingRevision = 13;
+    later.listingRevision.number = 13;
     publish(later, 2'600);
     EXPECT_EQ(planSearch(m_entry, Flow, at(2'700)).agents.size(), 2U);
 }
--- a/Tests/LibTransport/TestStreamSocket.cpp
+++ b/Tests/LibTransport/TestStreamSocket.cpp
@@ -26,9 +26,9 @@
 {
     auto [listener, endpoint] = listenOnFreePort();
     ASSERT_TRUE(listener.isOpen());
-    EXPECT_FALSE(isTcpPortClosed(endpoint, Limit));
+    EXPECT_EQ(probeTcpPort(endpoint, Limit), PortState::Open);
     listener.reset();
-    EXPECT_TRUE(isTcpPortClosed(endpoint, Limit));
+    EXPECT_EQ(probeTcpPort(endpoint, Limit), PortState::Closed);
 }
 
 // A daemon without free descriptors took its target's port for closed, although the target served, and all flows of the target were
@@ -42,9 +42,9 @@
     rlimit exhausted = former;
     exhausted.rlim_cur = 0;
     ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &exhausted), 0);
-    const bool isClosed = isTcpPortClosed(endpoint, Limit);
+    const auto state = probeTcpPort(endpoint, Limit);
     ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &former), 0);
-    EXPECT_FALSE(isClosed);
+    EXPECT_EQ(state, PortState::Unknown);
 }
 
 } // namespace
--- a/Tests/RelayDeployment/EchoTarget.h
+++ b/Tests/RelayDeployment/EchoTarget.h
@@ -11,7 +11,8 @@
 namespace Papaya {
 
 /// A target on loopback that terminates flows itself and responds to each request with `REQUEST@NAME`. A packet of a flow
-/// that this target has not opened is sent back to the agent, marked as returned, and counted.
+/// that this target has not opened is sent back to the agent, marked as returned, and counted. Its TCP port is open, so that agents
+/// which check it find that the target runs.
 class EchoTarget
 {
 public:
--- a/Tests/RelaySoak/SoakPlan.cpp
+++ b/Tests/RelaySoak/SoakPlan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<const char *, 16> KindNames {
+constexpr std::array<const char *, 17> KindNames {
     "kill_entry",
     "pause_entry",
     "restart_entry",
@@ -25,6 +25,7 @@
     "drain_target",
     "busy_machine",
     "open_flows",
+    "restore_store",
 };
 constexpr int LastRandomKind = static_cast<int>(SoakFaultKind::ChangeRoutes);
 /// The range of the time between the starts of two faults, and the range of the duration of a fault, in milliseconds. Most faults last
@@ -86,6 +87,12 @@
     return series;
 }
 
+/// Restores of the store in one soak, and the longest outage, age of the copy and delay until everything is written again.
+constexpr int MaximumRestores = 3;
+constexpr Duration MaximumStoreOutage {2'000};
+constexpr Duration MaximumCopyAge {6'000};
+constexpr Duration MaximumRewriteDelay {1'500};
+
 } // namespace
 
 std::vector<SoakFault> generateSoakFaults(std::uint64_t seed, const SoakSize &size)
@@ -102,6 +109,15 @@
         faults.push_back(fault);
         time += Duration(draw(random, MinimumInterval, MaximumInterval));
     }
+    for (int restore = draw(random, 1, MaximumRestores); restore > 0; --restore) {
+        SoakFault fault;
+        fault.kind = SoakFaultKind::RestoreStore;
+        fault.at = draw(random, Duration(0), size.duration - Duration(1));
+        fault.duration = draw(random, Duration(0), MaximumStoreOutage);
+        fault.copyAge = draw(random, Duration(0), MaximumCopyAge);
+        fault.rewriteDelay = draw(random, Duration(0), MaximumRewriteDelay);
+        faults.push_back(fault);
+    }
     return faults;
 }
 
@@ -139,7 +155,8 @@
 std::string describe(const SoakFault &fault)
 {
     return std::string("kind=") + KindNames.at(static_cast<std::size_t>(fault.kind)) + " index=" + std::to_string(fault.index)
-           + " at_ms=" + std::to_string(fault.at.count()) + " duration_ms=" + std::to_string(fault.duration.count());
+           + " at_ms=" + std::to_string(fault.at.count()) + " duration_ms=" + std::to_string(fault.duration.count())
+           + " copy_age_ms=" + std::to_string(fault.copyAge.count()) + " rewrite_delay_ms=" + std::to_string(fault.rewriteDelay.count());
 }
 
 } // namespace Papaya
--- a/Tests/RelaySoak/SoakPlan.h
+++ b/Tests/RelaySoak/SoakPlan.h
@@ -38,6 +38,8 @@
     BusyMachine,
     /// Callers open further flows, which stay open.
     OpenFlows,
+    /// The store rejects all requests. At the end of the fault it returns from a copy, and everything is written again after a delay.
+    RestoreStore,
 };
 
 /// Time between SIGTERM and the new start of an entry daemon. A graceful stop takes 2.2 s.
@@ -51,6 +53,10 @@
     /// The time of the fault since the start of the soak.
     Duration at {0};
     Duration duration {0};
+    /// RestoreStore only: the age of the copy at the start of the fault, and the time from the end of the fault until everything is
+    /// written again.
+    Duration copyAge {0};
+    Duration rewriteDelay {0};
 };
 
 /// The number of daemons in a soak and its duration. Each service has at least two of the targets; the service of the first
@@ -62,7 +68,8 @@
     Duration duration {9'000};
 };
 
-/// Generates a random sequence of overlapping faults, ordered by time. The same seed gives the same faults.
+/// Generates a random sequence of overlapping faults. The same seed gives the same faults. The restores of the store are drawn after
+/// the other faults, which overlap them.
 [[nodiscard]] std::vector<SoakFault> generateSoakFaults(std::uint64_t seed, const SoakSize &size);
 
 /// Generates the faults of a release, ordered by time: planned restarts of all daemons in a series, a freeze of half of the entry daemons
--- a/Tests/RelaySoak/TestRelaySoak.cpp
+++ b/Tests/RelaySoak/TestRelaySoak.cpp
@@ -35,6 +35,8 @@
 /// Every flow must receive answers again within this time after the last fault. The users require recovery within twelve seconds.
 constexpr Duration RecoveryTimeout {12'000};
 constexpr Duration SettleTime {1'000};
+/// The users require that a configuration is in force at all daemons within this time.
+constexpr Duration ApplyLimit {3'000};
 
 /// Injects the faults at their times. Runs in a separate thread, since waiting for the exit of a process would block the callers.
 class FaultRunner
@@ -53,8 +55,11 @@
     {
         for (const auto &fault : faults) {
             const bool isEntryRestart = fault.kind == SoakFaultKind::RestartEntry;
-            m_steps.emplace(fault.at, Step {fault, false});
-            m_steps.emplace(fault.at + (isEntryRestart ? RestartTime : fault.duration), Step {fault, true});
+            const auto end = fault.at + (isEntryRestart ? RestartTime : fault.duration);
+            m_steps.emplace(fault.at, Step {fault, StepKind::Begin});
+            m_steps.emplace(end, Step {fault, StepKind::End});
+            if (fault.kind == SoakFaultKind::RestoreStore)
+                m_steps.emplace(end + fault.rewriteDelay, Step {fault, StepKind::Rewrite});
         }
     }
 
@@ -64,10 +69,7 @@
         for (const auto &[at, step] : m_steps) {
             while (currentTime() - start < at)
                 wait();
-            if (step.isEnd)
-                end(step.fault);
-            else
-                begin(step.fault);
+            carryOut(step);
         }
         const auto end = currentTime();
         while (currentTime() - end < ResetGracePeriod)
@@ -75,9 +77,16 @@
     }
 
 private:
+    enum class StepKind {
+        Begin,
+        End,
+        /// After a restore of the store, the operators and the targets write everything again.
+        Rewrite,
+    };
+
     struct Step {
         SoakFault fault;
-        bool isEnd = false;
+        StepKind kind = StepKind::Begin;
     };
 
     /// The time for which an agent has been killed or paused, by one fault or by several that overlap.
@@ -85,6 +94,20 @@
         TimePoint since;
         int faults = 0;
     };
+    void carryOut(const Step &step)
+    {
+        switch (step.kind) {
+        case StepKind::Begin:
+            begin(step.fault);
+            break;
+        case StepKind::End:
+            end(step.fault);
+            break;
+        case StepKind::Rewrite:
+            m_deployment.rewriteStore();
+            break;
+        }
+    }
 
     static std::string nameOf(const SoakFault &fault)
     {
@@ -154,6 +177,9 @@
         case SoakFaultKind::ChangeRoutes:
             m_deployment.publishRoutes(1 + fault.index);
             break;
+        case SoakFaultKind::RestoreStore:
+            m_deployment.store().setDown(true);
+            break;
         default:
             m_proxy.setMode(modeOf(fault.kind));
             break;
@@ -197,6 +223,10 @@
         case SoakFaultKind::ChangeRoutes:
             m_deployment.publishRoutes(0);
             break;
+        case SoakFaultKind::RestoreStore:
+            m_deployment.store().restore(currentTime() - fault.duration - fault.copyAge);
+            m_deployment.store().setDown(false);
+            break;
         default:
             m_proxy.setMode(ProxyMode::Pass);
             break;
@@ -303,6 +333,17 @@
     return seeds;
 }
 
+/// Returns whether all entry daemons have the newest routes in force.
+bool haveNewestRoutes(const RelayDeployment &deployment)
+{
+    const auto version = "\"revision\":" + std::to_string(deployment.routesVersion()) + ",";
+    for (const auto &entry : deployment.entryNames()) {
+        if (deployment.readOperatorEndpoint(entry, "/status").find(version) == std::string::npos)
+            return false;
+    }
+    return true;
+}
+
 /// Runs a deployment with these faults, and checks that no open flow breaks and that every flow recovers.
 void runSoak(std::uint64_t seed, const SoakSize &size, const std::vector<SoakFault> &faults)
 {
@@ -321,11 +362,12 @@
         isDone = true;
     });
     while (!isDone)
-        callers.run(SettleTime / 10);
+        callers.run(StepInterval);
     thread.join();
     const auto answered = callers.awaitAnswersOnAllFlows(RecoveryTimeout);
     const auto &outcome = callers.outcome();
     EXPECT_EQ(answered, callers.flowCount());
+    EXPECT_TRUE(RelayDeployment::waitUntil([&] { return haveNewestRoutes(deployment); }, ApplyLimit));
     EXPECT_EQ(outcome.wrongAnswers, 0U);
     EXPECT_EQ(outcome.brokenFlows, 0U);
     EXPECT_GT(outcome.answers, Flows);
