LibEmulator: Start entry daemons between two outages of the store

Callers saw open flows reset (held_by_nobody) by entry daemons that had started while entries of targets had lapsed in the store. A daemon that starts between two outages waits 2.5 s for lapsed entries, but reads no newer list in that time, and then resets flows because the route's requests are idempotent. And a target of a former service of an address whose entry was written again has a Created revision above the routes, so that a restarted daemon takes it for listed after them and does not ask it.

--- a/Tests/LibEmulator/TestFlowRule.cpp
+++ b/Tests/LibEmulator/TestFlowRule.cpp
@@ -264,6 +264,40 @@
     runAndExpectFlowRule();
 }
 
+// Guards against resets by an entry daemon whose only list lacks targets, as it started between two outages of the store.
+TEST_P(FlowRuleSeeds, EntryDaemonsThatStartBetweenTwoOutagesBreakNoFlow)
+{
+    m_simulation.schedule(Duration(5'000), [this] { m_simulation.setStoreReachable(false); });
+    for (std::size_t target = 0; target < m_simulation.targetCount(); ++target) {
+        if ((target + GetParam()) % 3 != 0)
+            m_simulation.schedule(Duration(6'900), [this, target] { m_simulation.withdrawTemporarily(target, Duration(1'500)); });
+    }
+    m_simulation.schedule(Duration(7'000), [this] { m_simulation.setStoreReachable(true); });
+    m_simulation.schedule(Duration(7'200), [this] { m_simulation.setStoreReachable(false); });
+    m_simulation.schedule(Duration(14'000), [this] { m_simulation.setStoreReachable(true); });
+    // A daemon starts 2.5 s after its restart began.
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        m_simulation.schedule(Duration(4'500 + 30 * static_cast<Duration::rep>(entry)),
+                              [this, entry] { m_simulation.restartEntryGracefully(entry); });
+    runAndExpectFlowRule();
+}
+
+// Guards against searches that leave out the targets of a former service, because their entries were written again.
+TEST_P(FlowRuleSeeds, TargetsOfAFormerServiceThatAreListedAgainBreakNoFlow)
+{
+    const auto ledger = makeRoute(LedgerAddress, "ledger");
+    auto orders = makeRoute(OrdersAddress, "orders");
+    orders.isIdempotent = false;
+    m_simulation.schedule(Duration(2'000), [this, orders] { m_simulation.publishRoutes({makeRoute(LedgerAddress, "orders"), orders}); });
+    m_simulation.schedule(Duration(4'000), [this, ledger, orders] { m_simulation.publishRoutes({ledger, orders}); });
+    m_simulation.schedule(Duration(5'500), [this] { m_simulation.setStoreReachable(false); });
+    for (std::size_t target = LedgerTargets; target < m_simulation.targetCount(); ++target)
+        m_simulation.schedule(Duration(6'900), [this, target] { m_simulation.withdrawTemporarily(target, Duration(1'000)); });
+    m_simulation.schedule(Duration(7'000), [this] { m_simulation.setStoreReachable(true); });
+    restartEntries(Duration(7'000), Duration(700));
+    runAndExpectFlowRule();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, FlowRuleSeeds, testing::Range<std::uint64_t>(1, SeedCount + 1));
 
 class LargeFlowRuleSeeds : public testing::TestWithParam<std::uint64_t>
