--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -78,6 +78,23 @@
     }
 }
 
+// Failure: a daemon that started shortly after an outage of the store, and lost the store again, resets the flows of a serving target
+// that its only list lacks.
+TEST_F(EntrySearchTest, DeniedFlowIsNotResetWhileListIsOlderThanRelisting)
+{
+    m_entry.firstTargetListAsOf = Start;
+    m_entry.watchStartedAt.reset();
+    m_entry.routes.routes[ServiceAddress].isIdempotent = true;
+    publish(makeTarget(1));
+    receive(makeData(501), 500);
+    notify(1, NoticeKind::Denied, 502);
+    tickUntil(600, 5'000);
+    EXPECT_TRUE(m_output.resets.empty());
+    markTargetsCurrent(m_entry, at(5'000));
+    tickUntil(5'100, 5'200);
+    EXPECT_EQ(m_output.resets.size(), 1U);
+}
+
 TEST_F(EntrySearchTest, TargetListedAfterAllDenialsIsAsked)
 {
     publish(makeTarget(1));
@@ -407,6 +424,26 @@
     EXPECT_EQ(planSearch(m_entry, Flow, at(1'300)).agents.size(), 1U);
 }
 
+// Failure: an entry daemon that started after a target's entry was written again does not ask it for flows of earlier routes.
+TEST_F(EntrySearchTest, SearchAfterStartIncludesTargetThatMayHaveBeenListedAgain)
+{
+    m_entry.firstTargetListAsOf = Start;
+    publish(makeTarget(1));
+    auto target = makeTarget(2, "catalogue");
+    target.listingRevision = 11;
+    publish(target, 1'800);
+    EXPECT_EQ(planSearch(m_entry, Flow, at(1'900)).agents.size(), 2U);
+    // A target that has just started is new, and so is one that is listed later.
+    auto started = makeTarget(3, "catalogue");
+    started.listingRevision = 12;
+    started.coldTime = Duration(3'000);
+    publish(started, 1'900);
+    auto later = makeTarget(4, "catalogue");
+    later.listingRevision = 13;
+    publish(later, 2'600);
+    EXPECT_EQ(planSearch(m_entry, Flow, at(2'700)).agents.size(), 2U);
+}
+
 TEST_F(EntrySearchTest, SearchIncludesFormerServicesOfRoute)
 {
     publish(makeTarget(1));
