--- a/Libraries/LibCoordination/RelayKnowledge.h
+++ b/Libraries/LibCoordination/RelayKnowledge.h
@@ -23,8 +23,9 @@
 /// from the platform or from an earlier snapshot. Returns whether the snapshot was applied.
 ///
 /// The targets of a snapshot do not count as a current list: a flow that no target is known to hold is not reset before the
-/// platform itself was read, and `EntryRelayLimits::relistingTime` has passed since then (`RelayReason::HeldByNobody`, `RelayReason::AgentUnreachable`). A flow to an address for which the
-/// snapshot has no route is reset (`RelayReason::UnknownRoute`).
+/// platform itself was read, and `EntryRelayLimits::relistingTime` has passed since then (`RelayReason::HeldByNobody`,
+/// `RelayReason::AgentUnreachable`). A flow to an address for which the snapshot has no route is reset
+/// (`RelayReason::UnknownRoute`).
 bool importKnowledge(EntryRelay &entry, const RelayKnowledge &knowledge, TimePoint now, EntryOutput &output);
 
 } // namespace Papaya
