--- a/Tests/LibCoordination/TestRelayKnowledge.cpp
+++ b/Tests/LibCoordination/TestRelayKnowledge.cpp
@@ -120,6 +120,9 @@
     tickUntil(6'100, 8'400);
     EXPECT_EQ(m_output.resets, 0);
     tickUntil(8'500, 8'700);
+    EXPECT_EQ(m_output.resets, 0);
+    markTargetsCurrent(m_uninitialized, Start + Duration(8'700));
+    tickUntil(8'800, 9'000);
     EXPECT_EQ(m_output.resets, 1);
 }
 
