EntryUpkeep: Ping agents of withdrawn targets only when they are quiet

The agents report several times a second anyway. Change: such an agent is pinged after 0.6 s without a message, so that its end is still found within the bound of the tests (4 s). The reset line's open_ms is written only for flows that were open, since a search restarts that clock.

--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -62,6 +62,9 @@
     Duration pauseThreshold {350};
     /// An agent that sent a message within this time is not pinged.
     Duration agentContactValidity {200};
+    /// An agent of a withdrawn target that sent no message for this long is pinged: its target counts as gone only if it leaves queries
+    /// unanswered.
+    Duration withdrawnContactInterval {600};
     /// Limit on the agents that a search queries although no route table that this entry daemon received maps the flow's
     /// address to their service.
     std::size_t maximumUnrelatedAgents = 256;
--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -29,19 +29,22 @@
     return isUnreachable && endFlowAtTarget(key, flow, RelayReason::AgentUnreachable, now, output);
 }
 
-/// Returns whether this daemon has to know at any time whether an agent answers: a request to it is unanswered, its target is
-/// withdrawn, or it announced its restart.
-bool isContactRequired(const TargetRecord &record, TimePoint now)
+/// Returns whether this daemon has to know whether an agent answers: a request to it is unanswered, it announced its restart, or its
+/// target is withdrawn and it has sent nothing for a while.
+bool isContactRequired(const EntryRelay &entry, const TargetRecord &record, TimePoint now)
 {
+    if (record.unanswered || record.load.state == TargetState::AgentRestarting)
+        return true;
     const bool isWithdrawn = record.withdrawnAt && *record.withdrawnAt <= now;
-    return record.unanswered || isWithdrawn || record.load.state == TargetState::AgentRestarting;
+    const bool isQuiet = !record.lastMessageAt || now - *record.lastMessageAt >= entry.limits.withdrawnContactInterval;
+    return isWithdrawn && isQuiet;
 }
 
 /// Queries the agents whose answer decides whether flows are reset, until they answer or their targets count as terminated.
 void pingAgents(EntryRelay &entry, TimePoint now, EntryOutput &output)
 {
     for (const auto &[id, record] : entry.directory.targets) {
-        if (isContactRequired(record, now) && !isTerminated(entry.directory, record, now))
+        if (isContactRequired(entry, record, now) && !isTerminated(entry.directory, record, now))
             pingAgent(entry, record.published.agent, record.published.service, now, output);
     }
 }
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -296,8 +296,9 @@
     const bool isResetAtTarget =
         reason == RelayReason::LostAtTarget || reason == RelayReason::TargetGone || reason == RelayReason::AgentUnreachable;
     if (found != m_relay.flows.end() && isResetAtTarget)
-        line.with("evidence", flowEvidenceName(found->second.evidence))
-            .with("open_ms", static_cast<std::uint64_t>((currentTime() - found->second.changedAt).count()));
+        line.with("evidence", flowEvidenceName(found->second.evidence));
+    if (found != m_relay.flows.end() && isResetAtTarget && found->second.stage == EntryFlowStage::Open)
+        line.with("open_ms", static_cast<std::uint64_t>((currentTime() - found->second.changedAt).count()));
     if (found != m_relay.flows.end() && (reason == RelayReason::HeldByNobody || reason == RelayReason::SearchFound))
         line.with("search_ms", static_cast<std::uint64_t>((currentTime() - found->second.searchStartedAt).count()));
     const auto *record = findByAgent(std::as_const(m_relay.directory), agent);
