RelayAgent: Confirm that a port is closed before flows are reset

Change: a refusal has to be confirmed 0.3 s later, without a packet from the target in between. A stopping agent waits for the confirmation before it announces a restart, and it takes its target for idle only if it has recorded all flows: an agent that was restarted shortly before ended at once although its target had quiet flows (found by the review).

--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -9,13 +9,6 @@
 constexpr std::uint32_t MicrosecondsPerMillisecond = 1'000;
 constexpr std::uint32_t Percent = 100;
 
-bool mayDenyUnknownFlows(const AgentRelay &agent, TimePoint now)
-{
-    if (agent.tableFullAt && now - *agent.tableFullAt < agent.limits.maximumFlowAge)
-        return false;
-    return agent.hasCompleteFlowTable || now - agent.startedAt >= agent.limits.maximumFlowAge;
-}
-
 void endRequest(AgentRelay &agent, AgentFlow &flow)
 {
     if (!flow.requestStartedAt)
@@ -151,7 +144,7 @@
         forwardToTarget(agent, entry, summary, packet, now, output);
         return;
     }
-    if ((mayDenyUnknownFlows(agent, now) && !isIncompleteOrFinished) || agent.load.state == TargetState::Closed) {
+    if ((hasRecordedAllFlows(agent, now) && !isIncompleteOrFinished) || agent.load.state == TargetState::Closed) {
         output.sendNotice(entry, makeNotice(agent, NoticeKind::Denied, summary.flow));
         return;
     }
@@ -166,7 +159,7 @@
     const auto existing = agent.flows.find(key);
     if (existing != agent.flows.end())
         return existing->second.isOpen ? FlowVerdict::Held : FlowVerdict::Unknown;
-    const bool isDenied = mayDenyUnknownFlows(agent, now) || agent.load.state == TargetState::Closed;
+    const bool isDenied = hasRecordedAllFlows(agent, now) || agent.load.state == TargetState::Closed;
     return isDenied ? FlowVerdict::Denied : FlowVerdict::Unknown;
 }
 
@@ -272,6 +265,13 @@
 
 } // namespace
 
+bool hasRecordedAllFlows(const AgentRelay &agent, TimePoint now)
+{
+    if (agent.tableFullAt && now - *agent.tableFullAt < agent.limits.maximumFlowAge)
+        return false;
+    return agent.hasCompleteFlowTable || now - agent.startedAt >= agent.limits.maximumFlowAge;
+}
+
 void onEnvelope(AgentRelay &agent,
                 const Endpoint &entry,
                 const RelayEnvelope &envelope,
@@ -317,6 +317,7 @@
 void onTargetPacket(AgentRelay &agent, const PacketSummary &summary, std::span<const std::byte> packet, TimePoint now, AgentOutput &output)
 {
     agent.unansweredSynSince.reset();
+    agent.portRefusedAt.reset();
     if (agent.load.state != TargetState::AgentRestarting)
         agent.load.state = TargetState::Answering;
     if (summary.isReturned) {
@@ -344,8 +345,22 @@
     output.sendNotice(flow->entry, notice);
 }
 
+void onPortRefused(AgentRelay &agent, TimePoint now, AgentOutput &output)
+{
+    if (!agent.portRefusedAt)
+        agent.portRefusedAt = now;
+    if (now - *agent.portRefusedAt >= agent.limits.refusalConfirmationTime)
+        onPortClosed(agent, now, output);
+}
+
+void onPortOpen(AgentRelay &agent)
+{
+    agent.portRefusedAt.reset();
+}
+
 void onPortClosed(AgentRelay &agent, TimePoint now, AgentOutput &output)
 {
+    agent.portRefusedAt.reset();
     if (agent.load.state == TargetState::Closed)
         return;
     agent.load = TargetLoad {};
@@ -377,6 +392,8 @@
 {
     if (agent.load.state == TargetState::Closed)
         return false;
+    if (agent.portRefusedAt)
+        return now - *agent.portRefusedAt >= agent.limits.refusalConfirmationTime;
     const bool isSynUnanswered = agent.unansweredSynSince && now - *agent.unansweredSynSince >= agent.limits.synTimeout;
     return isSynUnanswered || std::any_of(agent.probes.begin(), agent.probes.end(), [&](const auto &probe) {
                return now - probe.second.sentAt >= agent.limits.probeTimeout;
--- a/Libraries/LibCoordination/AgentRelay.h
+++ b/Libraries/LibCoordination/AgentRelay.h
@@ -38,6 +38,9 @@
     /// A target that does not hold a probe's flow returns the probe within this time; after it, the target's port has to be
     /// checked.
     Duration probeTimeout {150};
+    /// A target's port counts as closed if it refused connections at this interval, and the target sent no packet in between. A target
+    /// that leaves may refuse connections a moment before its flows end.
+    Duration refusalConfirmationTime {300};
     /// Minimum time between the end of a process and the start of its successor on the same VM.
     Duration minimumRestartTime {100};
     /// Weight of a new response time in the moving average, in percent.
@@ -96,6 +99,8 @@
     TargetLoad load;
     /// When the first SYN was sent to the target since the target last sent a packet; nothing if there is none.
     std::optional<TimePoint> unansweredSynSince;
+    /// When the target's port first refused a connection since the target last sent a packet; nothing if there is none.
+    std::optional<TimePoint> portRefusedAt;
 };
 
 /// Carries out the decisions of the agent.
@@ -125,6 +130,15 @@
 /// Processes a packet that the target sent or returned.
 void onTargetPacket(AgentRelay &agent, const PacketSummary &summary, std::span<const std::byte> packet, TimePoint now, AgentOutput &output);
 
+/// Records that the target's port refused a connection. If that is confirmed by an earlier refusal, the port counts as closed.
+void onPortRefused(AgentRelay &agent, TimePoint now, AgentOutput &output);
+
+/// Records that the target's port accepted a connection.
+void onPortOpen(AgentRelay &agent);
+
+/// Returns whether the agent has recorded every open flow of its target, so that it may deny all others.
+[[nodiscard]] bool hasRecordedAllFlows(const AgentRelay &agent, TimePoint now);
+
 /// Records that the target's port is closed, so that no process holds its flows. Sends every subscribed entry daemon a report
 /// immediately.
 void onPortClosed(AgentRelay &agent, TimePoint now, AgentOutput &output);
@@ -135,7 +149,7 @@
 void announceRestart(AgentRelay &agent, TimePoint now, AgentOutput &output);
 
 /// Returns whether the target left a SYN or a probe unanswered for so long that the agent's daemon should check whether the
-/// target's port is open.
+/// target's port is open, or whether a refusal of the port has to be confirmed.
 [[nodiscard]] bool isPortCheckDue(const AgentRelay &agent, TimePoint now);
 
 /// Sends the reports that are due and removes expired flows, probes and subscriptions. Call ten times a second.
--- a/Libraries/LibCoordination/AgentStop.cpp
+++ b/Libraries/LibCoordination/AgentStop.cpp
@@ -21,8 +21,11 @@
 {
     if (agent.load.state == TargetState::Closed)
         return AgentStopStep::End;
+    if (agent.portRefusedAt)
+        return AgentStopStep::Relay;
+    const bool hasNoFlows = agent.load.openFlows == 0 && hasRecordedAllFlows(agent, now);
     // An announcement ends the service of new flows, so that nothing follows it but the end.
-    if (stop.announcements > 0 || agent.load.openFlows == 0 || now >= stop.deadline)
+    if (stop.announcements > 0 || hasNoFlows || now >= stop.deadline)
         return nextAnnouncement(stop, now);
     if (now - stop.targetCheckedAt < stop.limits.targetCheckInterval)
         return AgentStopStep::Relay;
--- a/Libraries/LibCoordination/AgentStop.h
+++ b/Libraries/LibCoordination/AgentStop.h
@@ -39,8 +39,9 @@
     End,
 };
 
-/// Returns the next step of a stop and records it. The agent relays packets until its target has ended or has no open flows, or
-/// until the deadline. If the target still runs then, the restart is announced before the agent ends.
+/// Returns the next step of a stop and records it. The agent relays packets until its target has ended or certainly has no open flows, or
+/// until the deadline. A refusal of the target's port is confirmed first. If the target still runs then, the restart is announced before
+/// the agent ends.
 [[nodiscard]] AgentStopStep nextStopStep(AgentStop &stop, const AgentRelay &agent, TimePoint now);
 
 } // namespace Papaya
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -25,6 +25,20 @@
 constexpr Duration StopReserve {1'000};
 constexpr double MillisecondsPerSecond = 1'000;
 
+/// Returns the name of a port's state for logs.
+std::string_view portStateName(PortState state)
+{
+    switch (state) {
+    case PortState::Open:
+        return "open";
+    case PortState::Closed:
+        return "closed";
+    case PortState::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 RelayAgentTask::RelayAgentTask(caf::actor_config &config,
@@ -117,10 +131,12 @@
 void RelayAgentTask::checkTarget(std::string_view cause)
 {
     m_targetCheckedAt = currentTime();
-    const bool isClosed = probeTcpPort(m_settings.target, TargetCheckTimeout) == PortState::Closed;
-    if (isClosed)
-        onPortClosed(m_relay, currentTime(), *this);
-    EventLog("target_checked").with("cause", cause).with("outcome", isClosed ? "closed" : "open");
+    const auto state = probeTcpPort(m_settings.target, TargetCheckTimeout);
+    if (state == PortState::Closed)
+        onPortRefused(m_relay, currentTime(), *this);
+    else if (state == PortState::Open)
+        onPortOpen(m_relay);
+    EventLog("target_checked").with("cause", cause).with("outcome", portStateName(state));
 }
 
 void RelayAgentTask::handleDaemonDatagram(std::span<const std::byte> datagram, const Endpoint &entry)
@@ -222,8 +238,9 @@
     if (m_targetSocket.takePortClosedError())
         onPortClosed(m_relay, currentTime(), *this);
     onAgentTick(m_relay, currentTime(), *this);
-    if (isPortCheckDue(m_relay, currentTime()) && currentTime() - m_targetCheckedAt >= TargetCheckInterval)
-        checkTarget("unanswered");
+    const bool isCheckAllowed = m_relay.portRefusedAt || currentTime() - m_targetCheckedAt >= TargetCheckInterval;
+    if (isCheckAllowed && isPortCheckDue(m_relay, currentTime()))
+        checkTarget(m_relay.portRefusedAt ? "confirm" : "unanswered");
     if (m_relay.load.state != m_loggedState) {
         m_loggedState = m_relay.load.state;
         EventLog("target_state").with("state", targetStateName(m_loggedState)).with("flows", m_relay.flows.size());
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -342,6 +342,22 @@
     EXPECT_TRUE(m_agent.flows.empty());
 }
 
+// An open flow was reset because its target, which was leaving, refused one connection a moment before its flows ended.
+TEST_F(AgentRelayTest, PortIsClosedOnlyAfterConfirmedRefusal)
+{
+    openFlow();
+    onPortRefused(m_agent, at(100), m_output);
+    EXPECT_TRUE(m_output.reports.empty());
+    EXPECT_FALSE(isPortCheckDue(m_agent, at(300)));
+    receiveFromTarget(makePacket(10), 350);
+    onPortRefused(m_agent, at(400), m_output);
+    EXPECT_TRUE(m_output.reports.empty());
+    EXPECT_TRUE(isPortCheckDue(m_agent, at(700)));
+    onPortRefused(m_agent, at(700), m_output);
+    ASSERT_EQ(m_output.reports.size(), 1U);
+    EXPECT_EQ(m_output.reports[0].second.load.state, TargetState::Closed);
+}
+
 TEST_F(AgentRelayTest, ClosedPortIsReportedOnceAndImmediately)
 {
     openFlow();
--- a/Tests/LibCoordination/TestAgentStop.cpp
+++ b/Tests/LibCoordination/TestAgentStop.cpp
@@ -68,12 +68,32 @@
 TEST_F(AgentStopTest, AgentWithoutOpenFlowsEndsAfterAnnouncements)
 {
     m_agent.load.openFlows = 0;
+    m_agent.hasCompleteFlowTable = true;
     const auto endedAt = runUntil(Start + StopTime);
     ASSERT_TRUE(endedAt);
     EXPECT_LE(*endedAt, Start + Duration(200));
     EXPECT_EQ(m_announcements, 3);
 }
 
+// An agent that was restarted shortly before does not know the quiet flows of its target, and must not end at once.
+TEST_F(AgentStopTest, AgentThatMayLackFlowsRelaysUntilDeadline)
+{
+    m_agent.load.openFlows = 0;
+    m_agent.startedAt = Start - Duration(10'000);
+    EXPECT_FALSE(runUntil(Start + Duration(4'990)));
+    EXPECT_EQ(m_announcements, 0);
+}
+
+// Entry daemons would wait for a restart of an agent whose target has ended.
+TEST_F(AgentStopTest, RefusedPortIsConfirmedBeforeAnnouncement)
+{
+    m_agent.load.openFlows = 0;
+    m_agent.hasCompleteFlowTable = true;
+    m_agent.portRefusedAt = Start;
+    EXPECT_FALSE(runUntil(Start + Duration(300)));
+    EXPECT_EQ(m_announcements, 0);
+}
+
 } // namespace
 
 } // namespace Papaya
