EntryRelay, EntrySearch: Name what a newcomer would stumble over

No behaviour changes. endFlowAtTarget() returned true when it had not ended the flow; it is resetIfConfirmed() now and returns whether it reset. The time after which expired entries are listed again stood twice (relistingTime and relistingGrace) and is one limit.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -205,7 +205,7 @@
         const auto current = item++;
         auto &[key, flow] = *current;
         const bool isAtAgent = flow.stage == EntryFlowStage::Open && flow.agent == agent && !flow.isFinished;
-        if (isAtAgent && endFlowAtTarget(key, flow, RelayReason::TargetGone, now, output))
+        if (isAtAgent && !resetIfConfirmed(key, flow, RelayReason::TargetGone, now, output))
             entry.flows.erase(current);
     }
 }
@@ -229,7 +229,7 @@
         flow.evidence = FlowEvidence::Held;
     if (finding.verdict != FlowVerdict::Denied || flow.isFinished)
         return false;
-    return endFlowAtTarget(finding.flow, flow, RelayReason::TargetGone, now, output);
+    return !resetIfConfirmed(finding.flow, flow, RelayReason::TargetGone, now, output);
 }
 
 } // namespace
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -47,12 +47,13 @@
     Duration routePropagationTime {1'500};
     /// Maximum time that the platform takes to report a change to a watch.
     Duration watchLatency {150};
-    /// A flow that every agent denied is reset once the list of targets is current. If the requests of its route are
-    /// idempotent and the platform was read at least once, the flow is reset after this time even without a current list:
-    /// waiting longer for a slow platform costs the caller more than opening another flow.
+    /// A flow that every agent denied is reset once the list of targets is current. If the requests of its route are idempotent, the
+    /// flow is reset after this time even with an older list, though not before `relistingTime` after the first list: waiting longer
+    /// for a slow platform costs the caller more than opening another flow.
     Duration maximumResetDelay {300};
-    /// Targets whose entries expired while the platform was unavailable are listed again within this time of its return. A daemon that
-    /// has just started does not know when the platform returned, so its first list may lack them for this long.
+    /// Targets whose entries expired while the platform was unavailable, or that registered after the copy from which it was restored, are
+    /// listed again within this time of its return. A daemon that has just started does not know when the platform returned, so its first
+    /// list may lack them for this long.
     Duration relistingTime {2'500};
     /// Maximum lifetime of a flow. For this long after its start an entry daemon may have missed services that a route had
     /// earlier and whose flows are still open.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -355,12 +355,12 @@
     }
 }
 
-bool endFlowAtTarget(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output)
+bool resetIfConfirmed(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output)
 {
     if (flow.evidence == FlowEvidence::Assumed)
-        return true;
+        return false;
     resetFlow(key, flow, reason, flow.acknowledged, now, output);
-    return false;
+    return true;
 }
 
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output)
--- a/Libraries/LibCoordination/EntrySearch.h
+++ b/Libraries/LibCoordination/EntrySearch.h
@@ -58,9 +58,9 @@
 /// tries the reset again.
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output);
 
-/// Ends a flow whose cached target has terminated or is unreachable: resets it if it was confirmed at that target. Returns whether
-/// the target was only assumed. The caller of this function then removes the entry, so that the flow's next packet starts a search.
-[[nodiscard]] bool endFlowAtTarget(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output);
+/// Resets a flow whose cached target has terminated or is unreachable, if the flow was confirmed at that target. Returns false if the
+/// target was only assumed: the caller of this function then removes the entry, so that the flow's next packet starts a search.
+[[nodiscard]] bool resetIfConfirmed(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output);
 
 /// Resets a flow and keeps its entry for `endedFlowRetention`.
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output);
--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -24,9 +24,9 @@
     if (record == nullptr || flow.isFinished)
         return false;
     if (isTerminated(entry.directory, *record, now))
-        return endFlowAtTarget(key, flow, RelayReason::TargetGone, now, output);
+        return !resetIfConfirmed(key, flow, RelayReason::TargetGone, now, output);
     const bool isUnreachable = flow.isRetransmitting && mayResetWithoutAgent(entry, key, flow.agent);
-    return isUnreachable && endFlowAtTarget(key, flow, RelayReason::AgentUnreachable, now, output);
+    return isUnreachable && !resetIfConfirmed(key, flow, RelayReason::AgentUnreachable, now, output);
 }
 
 /// Returns whether this daemon has to know whether an agent answers: a request to it is unanswered, it announced its restart, or its
--- a/Libraries/LibCoordination/RelayKnowledge.cpp
+++ b/Libraries/LibCoordination/RelayKnowledge.cpp
@@ -17,7 +17,7 @@
             continue;
         (void)onTargetPublished(entry, target, now, output);
         if (isMissing)
-            (void)applyWithdrawn(entry.directory, target.id, now + entry.directory.limits.relistingGrace);
+            (void)applyWithdrawn(entry.directory, target.id, now + entry.limits.relistingTime);
     }
 }
 
--- a/Libraries/LibCoordination/RelayKnowledge.h
+++ b/Libraries/LibCoordination/RelayKnowledge.h
@@ -23,7 +23,7 @@
 /// Applies the snapshot of another entry daemon, unless the snapshot has no routes. Returns whether its routes came into force.
 ///
 /// If this daemon already has routes and targets, newer routes replace its own, and the targets that it lacks are added, but count
-/// as withdrawn after `relistingGrace` unless the platform lists them by then.
+/// as withdrawn after `EntryRelayLimits::relistingTime` unless the platform lists them by then.
 ///
 /// The targets of a snapshot do not count as a current list: a flow that no target is known to hold is not reset before the
 /// platform itself was read, and `EntryRelayLimits::relistingTime` has passed since then (`RelayReason::HeldByNobody`,
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -98,9 +98,6 @@
     Duration queryInterval {200};
     /// An agent is unreachable only after this many unanswered queries, since any of them or its answer may be lost.
     int minimumUnansweredQueries = 5;
-    /// How long a target that only another entry daemon lists may take until the platform lists it, too. It may have registered
-    /// shortly before the platform was restored from a copy.
-    Duration relistingGrace {2'500};
 };
 
 /// The targets that one entry daemon has read.
@@ -171,8 +168,8 @@
 [[nodiscard]] TargetRecord *findByAgent(TargetDirectory &directory, const Endpoint &agent);
 [[nodiscard]] const TargetRecord *findByAgent(const TargetDirectory &directory, const Endpoint &agent);
 
-/// Returns whether a target has certainly terminated, and all its flows with it: its port is closed, or it is withdrawn and its agent
-/// does not answer either.
+/// Returns whether a target has certainly terminated, and all its flows with it: it drains and its port is closed, or it was
+/// withdrawn some time ago and its port is closed or its agent does not answer either.
 [[nodiscard]] bool isTerminated(const TargetDirectory &directory, const TargetRecord &record, TimePoint now);
 
 /// Removes targets that were withdrawn so long ago that none of their flows can still be open.
