EntrySearch: Query agents before targets get a flow's packet

Cause: a search sent the flow's packet to the four likeliest targets at once. While the agent of the flow's own target was being restarted, or the answers waited unread in an overloaded entry daemon, three other targets whose agents had restarted too got a copy each, and the own target none for two seconds (rule FLOW, part b). Two entry daemons that searched for one flow added up.

Change: a search queries agents first. A target gets a packet only if its agent cannot tell whether it holds the flow: all such targets at once if the flow's own one is certainly among them and reachable, otherwise one in 2.5 s, only with a packet from the last second. Recent reading of the agents' messages is a condition.

New tests fail on the code before: FewTargetsAreProbedWhileAnAgentIsSilent, OverloadedDaemonProbesOneTarget, SearchWithoutRecentPacketProbesNoTarget, TargetsGetNoPacketWhileTheirAgentsCanTell. Three tests expected packets in the first round; they now demand queries there and bound the probes that follow.

--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -38,6 +38,14 @@
     /// An agent that was sent a probe is only queried until this time has passed, since the probe or its answer may still be waiting in
     /// a socket: further copies would reach targets that do not hold the flow.
     Duration probeRetryInterval {600};
+    /// Time between two probes of a search while an agent has not answered: its target may hold the flow, and get no packet for as long.
+    /// The users' rule on open flows allows two packets at other targets in two seconds, and two entry daemons may search for one flow.
+    Duration probeInterval {2'500};
+    /// A probe is sent only if the caller sent a packet to this entry daemon within this time. Otherwise the caller's packets reach another
+    /// entry daemon by now, which searches too.
+    Duration probePacketValidity {1'000};
+    /// An entry daemon that has not read the messages of the last while is overloaded. The answer to a probe would wait in its socket.
+    Duration maximumReadDelay {200};
     /// How long the entry of a finished or reset flow, or of an incomplete handshake, is kept to answer late packets.
     Duration endedFlowRetention {3'000};
     /// How long the entry of an open flow is kept without packets.
@@ -79,6 +87,8 @@
     /// While searching: whether the target may be sent the flow's packets, and when one was last sent to it as a probe.
     bool mayReceivePackets = true;
     std::optional<TimePoint> probedAt {};
+    /// While searching: whether the agent answered the last query that it cannot tell whether its target holds the flow.
+    bool isUndecided = false;
     /// While searching: whether the target, if it holds the flow, has got the first buffered packet by a probe.
     bool hasFirstPacket = false;
     /// The initial sequence number of the target's SYN-ACK, if its agent reported one.
@@ -123,6 +133,12 @@
     /// While searching: the agents that reported that their target does not hold the flow. A denial stays valid during the
     /// search, since only a SYN opens the flow at another target.
     std::vector<Endpoint> deniedBy;
+    /// When the last probe of the flow was sent.
+    std::optional<TimePoint> probedAt;
+    /// While searching: when the last of the buffered packets was received.
+    TimePoint bufferedAt;
+    /// While searching: whether every agent whose target may hold the flow was asked.
+    bool areAllAgentsAsked = false;
     std::vector<std::vector<std::byte>> bufferedPackets;
     Endpoint agent;
     ServiceId service = 0;
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -28,22 +28,17 @@
     return takeTokens(entry.searchBandwidth, EnvelopeOverhead + static_cast<double>(size), now);
 }
 
-/// Sends a packet to targets as a probe, within the bandwidth that searches may use. Returns how many targets it was sent to.
-std::size_t
-sendProbes(EntryRelay &entry, std::span<FlowCandidate> agents, std::span<const std::byte> packet, TimePoint now, EntryOutput &output)
+/// Sends a packet to a target as a probe, within the bandwidth that searches may use. Returns whether it was sent.
+bool sendProbe(EntryRelay &entry, FlowCandidate &candidate, std::span<const std::byte> packet, TimePoint now, EntryOutput &output)
 {
-    std::size_t sentProbes = 0;
-    for (auto &candidate : agents) {
-        if (!consumeSearchBandwidth(entry, packet.size(), now))
-            break;
-        candidate.sentAt = now;
-        candidate.probedAt = now;
-        candidate.hasFirstPacket = true;
-        startAnswerTimeout(entry.directory, candidate.agent, now);
-        output.sendToAgent(candidate.agent, {candidate.service, EnvelopePurpose::Search, packet});
-        ++sentProbes;
-    }
-    return sentProbes;
+    if (!consumeSearchBandwidth(entry, packet.size(), now))
+        return false;
+    candidate.sentAt = now;
+    candidate.probedAt = now;
+    candidate.hasFirstPacket = true;
+    startAnswerTimeout(entry.directory, candidate.agent, now);
+    output.sendToAgent(candidate.agent, {candidate.service, EnvelopePurpose::Search, packet});
+    return true;
 }
 
 /// Adds the flow to the next queries to these agents; their targets receive no packet.
@@ -139,43 +134,89 @@
     return agents;
 }
 
-/// Asks the next agents of a search, or finishes the search if all were asked. The first round sends the packet to the targets
-/// that most likely hold the flow, which takes few messages when one of them does. All other agents are asked in the second
-/// round, by queries that many searches share.
-void sendNextRound(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+/// Returns whether the flow's target is among those whose agents cannot tell, is reachable and may receive the flow's packets: every other
+/// agent has denied the flow or is unreachable.
+bool isTargetAmongUndecided(const EntryRelay &entry, const EntryFlow &flow, TimePoint now)
 {
-    if (flow.bufferedPackets.empty())
+    if (!flow.areAllAgentsAsked || now - entry.directory.messagesReadUntil >= entry.limits.maximumReadDelay)
+        return false;
+    return std::all_of(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) {
+        const auto *record = findByAgent(entry.directory, candidate.agent);
+        return (candidate.isUndecided && candidate.mayReceivePackets) || (record != nullptr && isUnreachable(entry.directory, *record));
+    });
+}
+
+/// Sends the flow's first packet to targets whose agents cannot tell whether they hold the flow: to all of them if the flow's own target
+/// gets it too, and otherwise to one in `probeInterval`.
+void probeUndecided(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+{
+    if (flow.bufferedPackets.empty() || now - flow.bufferedAt >= entry.limits.probePacketValidity)
         return;
+    const bool areAllProbed = isTargetAmongUndecided(entry, flow, now);
+    for (auto &candidate : flow.candidates) {
+        const bool isProbePending = candidate.probedAt && now - *candidate.probedAt < entry.limits.probeRetryInterval;
+        if (!candidate.isUndecided || !candidate.mayReceivePackets || isProbePending)
+            continue;
+        if (!areAllProbed && flow.probedAt && now - *flow.probedAt < entry.limits.probeInterval)
+            return;
+        if (!sendProbe(entry, candidate, flow.bufferedPackets.front(), now, output)) {
+            output.recordDecision(key, RelayReason::SearchDeferred, candidate.agent);
+            return;
+        }
+        flow.probedAt = now;
+    }
+}
+
+/// Returns whether no further answer is expected from the agents that were asked so far.
+bool isRoundOver(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow)
+{
+    return std::all_of(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) {
+        return candidate.isUndecided || mayResetWithoutAgent(entry, key, candidate.agent);
+    });
+}
+
+/// Asks the next agents of a search, or finishes the search if all were asked. The first round asks the agents of the targets that
+/// most likely hold the flow, which takes few messages when one of them does. All other agents are asked in the second round.
+void sendNextRound(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+{
     const auto plan = planSearch(entry, key, now);
     auto unasked = unaskedAgents(plan, flow);
+    flow.areAllAgentsAsked = unasked.empty() && plan.isComplete;
     if (unasked.empty()) {
         if (plan.isComplete && !plan.agents.empty())
             finishSearch(entry, key, flow, now, output);
         return;
     }
     const bool isFirstRound = flow.candidates.empty() && flow.deniedBy.empty();
-    if (!isFirstRound) {
-        enqueueQueries(entry, key, unasked, now);
-        flow.candidates.insert(flow.candidates.end(), unasked.begin(), unasked.end());
-        sendQueries(entry, now, output);
-        return;
+    if (isFirstRound) {
+        std::stable_partition(
+            unasked.begin(), unasked.end(), [&](const FlowCandidate &agent) { return !mayResetWithoutAgent(entry, key, agent.agent); });
+        unasked.resize(std::min(unasked.size(), entry.weights.candidates));
     }
-    std::stable_partition(
-        unasked.begin(), unasked.end(), [&](const FlowCandidate &agent) { return !mayResetWithoutAgent(entry, key, agent.agent); });
-    unasked.resize(std::min(unasked.size(), entry.weights.candidates));
-    const auto sentProbes = sendProbes(entry, unasked, flow.bufferedPackets.front(), now, output);
-    if (sentProbes < unasked.size())
-        output.recordDecision(key, RelayReason::SearchDeferred, {});
-    unasked.resize(sentProbes);
+    enqueueQueries(entry, key, unasked, now);
     flow.candidates.insert(flow.candidates.end(), unasked.begin(), unasked.end());
+    sendQueries(entry, now, output);
+}
+
+/// Continues a search after an agent's answer.
+void continueRound(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+{
+    if (!flow.areAllAgentsAsked || areAllCandidatesUnreachable(entry, key, flow)) {
+        if (isRoundOver(entry, key, flow))
+            sendNextRound(entry, key, flow, now, output);
+    }
+    if (flow.stage == EntryFlowStage::Searching)
+        probeUndecided(entry, key, flow, now, output);
 }
 
 /// Repeats the requests to the agents that have not answered, as queries. An agent that cannot tell whether its target holds the flow
 /// answers unknown, and then gets another probe if the last one may be lost.
 void repeatRequests(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    for (auto &candidate : flow.candidates)
+    for (auto &candidate : flow.candidates) {
         candidate.hasFirstPacket = false;
+        candidate.isUndecided = false;
+    }
     enqueueQueries(entry, key, flow.candidates, now);
     sendQueries(entry, now, output);
 }
@@ -187,9 +228,22 @@
     std::erase_if(flow.candidates, [&](const FlowCandidate &candidate) { return !isAmong(plan.agents, candidate.agent); });
 }
 
-void bufferPacket(EntryFlow &flow, std::span<const std::byte> packet)
+void bufferPacket(EntryFlow &flow, std::span<const std::byte> packet, TimePoint now)
 {
     flow.bufferedPackets.emplace_back(packet.begin(), packet.end());
+    flow.bufferedAt = now;
+}
+
+/// Puts a flow into the stage of a search that has asked no agent. Probes of an earlier search still count.
+void beginSearch(EntryFlow &flow, TimePoint now)
+{
+    flow.stage = EntryFlowStage::Searching;
+    flow.changedAt = now;
+    flow.searchStartedAt = now;
+    flow.candidates.clear();
+    flow.deniedBy.clear();
+    flow.bufferedPackets.clear();
+    flow.areAllAgentsAsked = false;
 }
 
 } // namespace
@@ -201,18 +255,20 @@
                  TimePoint now,
                  EntryOutput &output)
 {
-    flow.stage = EntryFlowStage::Searching;
     flow.acknowledged = summary.acknowledgement;
-    flow.changedAt = now;
-    flow.searchStartedAt = now;
-    flow.candidates.clear();
-    flow.deniedBy.clear();
-    flow.bufferedPackets.clear();
-    bufferPacket(flow, packet);
+    beginSearch(flow, now);
+    bufferPacket(flow, packet, now);
     output.recordDecision(summary.flow, RelayReason::SearchStarted, {});
     sendNextRound(entry, summary.flow, flow, now, output);
 }
 
+void startSearchWithoutPacket(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+{
+    beginSearch(flow, now);
+    output.recordDecision(key, RelayReason::SearchStarted, {});
+    sendNextRound(entry, key, flow, now, output);
+}
+
 void continueSearch(EntryRelay &entry,
                     const PacketSummary &summary,
                     EntryFlow &flow,
@@ -224,14 +280,14 @@
         return;
     if (now - flow.changedAt < entry.limits.searchRetryInterval) {
         if (flow.bufferedPackets.size() < entry.limits.bufferedPackets)
-            bufferPacket(flow, packet);
+            bufferPacket(flow, packet, now);
         else
             output.recordDecision(summary.flow, RelayReason::TooManyHeld, {});
         return;
     }
     flow.changedAt = now;
     flow.bufferedPackets.clear();
-    bufferPacket(flow, packet);
+    bufferPacket(flow, packet, now);
     removeTerminatedCandidates(entry, summary.flow, flow, now);
     if (!flow.candidates.empty()) {
         output.recordDecision(summary.flow, RelayReason::SearchUnanswered, flow.candidates.front().agent);
@@ -268,22 +324,18 @@
     if (std::erase_if(flow.candidates, [&](const FlowCandidate &candidate) { return candidate.agent == agent; }) == 0)
         return;
     flow.deniedBy.push_back(agent);
-    if (areAllCandidatesUnreachable(entry, key, flow))
-        sendNextRound(entry, key, flow, now, output);
+    continueRound(entry, key, flow, now, output);
 }
 
 void onFlowUnknown(EntryRelay &entry, const Endpoint &agent, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    if (flow.stage != EntryFlowStage::Searching || flow.bufferedPackets.empty())
+    if (flow.stage != EntryFlowStage::Searching)
         return;
     for (auto &candidate : flow.candidates) {
-        const bool isProbePending = candidate.probedAt && now - *candidate.probedAt < entry.limits.probeRetryInterval;
-        if (candidate.agent != agent || !candidate.mayReceivePackets || isProbePending)
-            continue;
-        if (sendProbes(entry, std::span(&candidate, 1), flow.bufferedPackets.front(), now, output) == 0)
-            output.recordDecision(key, RelayReason::SearchDeferred, agent);
-        return;
+        if (candidate.agent == agent)
+            candidate.isUndecided = true;
     }
+    continueRound(entry, key, flow, now, output);
 }
 
 void sendQueries(EntryRelay &entry, TimePoint now, EntryOutput &output)
@@ -310,7 +362,7 @@
 
 void retrySearch(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    if (flow.candidates.empty() || flow.bufferedPackets.empty() || now - flow.changedAt < entry.limits.searchRetryInterval)
+    if (flow.candidates.empty() || now - flow.changedAt < entry.limits.searchRetryInterval)
         return;
     flow.changedAt = now;
     removeTerminatedCandidates(entry, key, flow, now);
--- a/Libraries/LibCoordination/EntrySearch.h
+++ b/Libraries/LibCoordination/EntrySearch.h
@@ -6,7 +6,8 @@
 /// hold the flow.
 namespace Papaya {
 
-/// Starts a search for the target that holds the flow, and asks the agents that the flow's hash ranks first.
+/// Starts a search for the target that holds the flow, and queries the agents that the flow's hash ranks first. Targets receive no packet
+/// while their agents can tell whether they hold the flow.
 void startSearch(EntryRelay &entry,
                  const PacketSummary &summary,
                  EntryFlow &flow,
@@ -14,6 +15,9 @@
                  TimePoint now,
                  EntryOutput &output);
 
+/// Starts a search for an open flow whose target may hold it no longer. There is no packet to send to targets until the caller's next one.
+void startSearchWithoutPacket(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output);
+
 /// Processes a further packet of a flow that is being searched for: buffers it. If the requests were sent
 /// at least `searchRetryInterval` ago, the packet replaces the buffered ones, and the unanswered requests are repeated.
 void continueSearch(EntryRelay &entry,
@@ -31,7 +35,8 @@
 void onFlowDenied(EntryRelay &entry, const Endpoint &agent, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output);
 
 /// Processes an agent's answer with `FlowVerdict::Unknown`. Sends the agent's target a packet of the flow as a probe, unless the
-/// target belongs to a service whose targets must not receive the flow's packets.
+/// target belongs to a service whose targets must not receive the flow's packets. While other agents have not answered, one
+/// probe is sent in `probeInterval`.
 void onFlowUnknown(EntryRelay &entry, const Endpoint &agent, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output);
 
 /// Sends the queries that are due, within the bandwidth that searches may use. Call after each received packet or message, and
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -48,12 +48,13 @@
     struct Sent {
         Endpoint agent;
         EnvelopePurpose purpose;
+        bool isQuery = false;
     };
 
     void sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope) override { sent.push_back({agent, envelope.purpose}); }
     void sendQuery(const Endpoint &agent, const RelayQuery &query) override
     {
-        sent.push_back({agent, EnvelopePurpose::Search});
+        sent.push_back({agent, EnvelopePurpose::Search, true});
         queries.emplace_back(agent, query);
     }
     void resetCaller(const FlowKey &, std::uint32_t sequence) override { resets.push_back(sequence); }
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -8,6 +8,9 @@
 
 class EntrySearchTest : public EntryRelayFixture
 {
+protected:
+    /// Number of packets that were sent to targets.
+    [[nodiscard]] std::size_t probeCount() const { return m_output.sent.size() - m_output.queries.size(); }
 };
 
 TEST_F(EntrySearchTest, UnconfirmedFlowIsSearchedForWhenTargetReturnsPacket)
@@ -127,25 +130,87 @@
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
 }
 
+// Packets of an open flow went to targets that do not hold it, although their agents knew that.
+TEST_F(EntrySearchTest, TargetsGetNoPacketWhileTheirAgentsCanTell)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeData(501), 2'000);
+    tickUntil(2'100, 2'500);
+    EXPECT_EQ(probeCount(), 0U);
+    answer(agentOf(1), FlowVerdict::Denied, 2'510);
+    answer(agentOf(2), FlowVerdict::Held, 2'510);
+    EXPECT_EQ(probeCount(), 1U);
+    EXPECT_EQ(m_output.sent.back().purpose, EnvelopePurpose::Forward);
+}
+
 // Packets of an open flow went to targets that do not hold it, again at each repetition of a search, while their agents' denials waited
 // in the socket of a slow entry daemon.
 TEST_F(EntrySearchTest, RepeatedSearchSendsTargetsNoFurtherCopies)
 {
     publish(makeTarget(1));
-    publish(makeTarget(2));
     receive(makeData(501), 2'000);
-    const auto probes = [&] { return m_output.sent.size() - m_output.queries.size(); };
-    EXPECT_EQ(probes(), 2U);
+    answer(agentOf(1), FlowVerdict::Unknown, 2'010);
+    EXPECT_EQ(probeCount(), 1U);
     tickUntil(2'100, 2'500);
     receive(makeData(501), 2'550);
-    EXPECT_EQ(probes(), 2U);
+    EXPECT_EQ(probeCount(), 1U);
     EXPECT_GE(m_output.queries.size(), 2U);
     // A probe that may be lost is repeated if the agent cannot answer from its flow table.
     answer(agentOf(1), FlowVerdict::Unknown, 2'560);
-    EXPECT_EQ(probes(), 2U);
+    EXPECT_EQ(probeCount(), 1U);
     tickUntil(2'600, 2'700);
     answer(agentOf(1), FlowVerdict::Unknown, 2'710);
-    EXPECT_EQ(probes(), 3U);
+    EXPECT_EQ(probeCount(), 2U);
+}
+
+// Failure: while the agent of a flow's own target is being restarted, searches send the flow's packets to three targets whose agents
+// have restarted too and cannot tell whether they hold the flow.
+TEST_F(EntrySearchTest, FewTargetsAreProbedWhileAnAgentIsSilent)
+{
+    for (std::uint32_t number = 1; number <= 4; ++number)
+        publish(makeTarget(number));
+    onReport(m_entry, agentOf(4), {hashOf("ledger"), {0, 0, 0, TargetState::AgentRestarting}}, at(1'900), m_output);
+    for (int time = 2'000; time < 4'500; time += 100) {
+        receive(makeData(501), time);
+        for (std::uint32_t number = 1; number <= 3; ++number)
+            answer(agentOf(number), FlowVerdict::Unknown, time + 2);
+        tickUntil(time + 50, time + 50);
+    }
+    EXPECT_EQ(probeCount(), 1U);
+    // The flow's target gets its packet with the others as soon as its agent answers.
+    receive(makeData(501), 4'500);
+    for (std::uint32_t number = 1; number <= 4; ++number)
+        answer(agentOf(number), FlowVerdict::Unknown, 4'502);
+    EXPECT_TRUE(std::any_of(
+        m_output.sent.begin(), m_output.sent.end(), [&](const auto &sent) { return sent.agent == agentOf(4) && !sent.isQuery; }));
+}
+
+// Failure: an entry daemon whose messages wait in its socket sends packets to three targets within a moment, and nothing to the flow's
+// own target until it has read that target's answer.
+TEST_F(EntrySearchTest, OverloadedDaemonProbesOneTarget)
+{
+    for (std::uint32_t number = 1; number <= 4; ++number)
+        publish(makeTarget(number));
+    markAgentMessagesRead(m_entry, at(1'000));
+    receive(makeData(501), 2'000);
+    for (std::uint32_t number = 1; number <= 4; ++number)
+        answer(agentOf(number), FlowVerdict::Unknown, 2'002);
+    EXPECT_EQ(probeCount(), 1U);
+}
+
+// Failure: after the fabric moved a flow to another entry daemon, both send its packets to targets that do not hold it.
+TEST_F(EntrySearchTest, SearchWithoutRecentPacketProbesNoTarget)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeData(501), 2'000);
+    tickUntil(2'100, 3'000);
+    answer(agentOf(1), FlowVerdict::Unknown, 3'010);
+    EXPECT_EQ(probeCount(), 0U);
+    receive(makeData(501), 3'200);
+    answer(agentOf(1), FlowVerdict::Unknown, 3'210);
+    EXPECT_EQ(probeCount(), 1U);
 }
 
 // The target that holds the flow gets the packets that were buffered after its probe may have been lost.
@@ -169,7 +234,7 @@
     EXPECT_EQ(m_output.sent.size(), m_entry.weights.candidates);
     for (std::size_t index = 0; index < m_entry.weights.candidates; ++index)
         notify(m_output.sent[index].agent.address - 0x0a020000, NoticeKind::Denied, 1'002);
-    EXPECT_EQ(m_output.queries.size(), Targets - m_entry.weights.candidates);
+    EXPECT_EQ(m_output.queries.size(), Targets);
     EXPECT_EQ(m_output.sent.size(), Targets);
 
     // After a restart of the whole system every caller's packet starts a search on a link of low bandwidth.
@@ -181,6 +246,14 @@
         receive(data, 2'000);
     }
     EXPECT_LE(m_output.sent.size(), 2'000U / 100);
+    // Probes share the bandwidth too.
+    const auto first = m_output.queries.back().first;
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        auto flow = Flow;
+        flow.caller.port = port;
+        answer(first, FlowVerdict::Unknown, 2'002, flow);
+    }
+    EXPECT_LE(m_output.sent.size(), 2'000U / 100);
     EXPECT_TRUE(m_output.hasRecorded(RelayReason::SearchDeferred));
 }
 
@@ -372,8 +445,8 @@
     receive(makeData(501), 2'000);
     for (std::size_t index = 0; index < m_entry.weights.candidates; ++index)
         answer(m_output.sent[index].agent, FlowVerdict::Denied, 2'002);
-    ASSERT_EQ(m_output.queries.size(), 1U);
-    const auto last = m_output.queries.front().first;
+    ASSERT_EQ(m_output.queries.size(), m_entry.weights.candidates + 1);
+    const auto last = m_output.queries.back().first;
     answer(last, FlowVerdict::Unknown, 2'004);
     EXPECT_EQ(m_output.sent.back().agent, last);
     EXPECT_TRUE(m_output.resets.empty());
