LibEmulator: Check sequence numbers of resets, end flows by both ends

Evidence: EmulatedCallersTest.OpenFlowIgnoresResetFarFromItsSequenceNumber fails on the code before.

--- a/Libraries/LibEmulator/EmulatedCallers.cpp
+++ b/Libraries/LibEmulator/EmulatedCallers.cpp
@@ -17,6 +17,13 @@
 constexpr Duration MaximumRetransmissionTimeout {1'600};
 constexpr int MaximumAttempts = 3;
 constexpr std::uint16_t RequestLength = 200;
+/// The caller of an open flow accepts a reset only if its sequence number is within this distance of the caller's last acknowledgement.
+constexpr std::uint32_t ResetWindow = 76'800;
+
+bool isWithinResetWindow(std::uint32_t sequence, std::uint32_t acknowledgement)
+{
+    return sequence - acknowledgement <= ResetWindow || acknowledgement - sequence <= ResetWindow;
+}
 
 } // namespace
 
@@ -225,6 +232,8 @@
 {
     const auto key = reset.summary.flow;
     const auto flow = m_flows.at(key);
+    if (flow.isOpen && !isWithinResetWindow(reset.summary.sequence, flow.acknowledgement))
+        return;
     ++m_statistics[flow.kind].resets;
     if (flow.isOpen && m_isHeld(reset))
         m_brokenFlows.push_back(key);
--- a/Libraries/LibEmulator/EmulatedEntry.cpp
+++ b/Libraries/LibEmulator/EmulatedEntry.cpp
@@ -130,11 +130,12 @@
     m_network.sendToAgent(m_address, agent, {bytes.begin(), bytes.end()});
 }
 
-void EmulatedEntry::resetCaller(const FlowKey &flow, std::uint32_t)
+void EmulatedEntry::resetCaller(const FlowKey &flow, std::uint32_t sequence)
 {
     EmulatedPacket packet;
     packet.summary.flow = flow;
     packet.summary.isReset = true;
+    packet.summary.sequence = sequence;
     packet.senderEntry = m_address.address;
     m_network.sendToCallers(packet);
 }
--- a/Libraries/LibEmulator/EmulatedTarget.cpp
+++ b/Libraries/LibEmulator/EmulatedTarget.cpp
@@ -48,6 +48,8 @@
         return;
     }
     found->second.isOpen = true;
+    if (summary.isFin)
+        sendFin(summary.flow);
     if (summary.isReset || summary.isFin) {
         m_flows.erase(found);
         return;
@@ -160,6 +162,15 @@
     m_output(packet);
 }
 
+void EmulatedTarget::sendFin(const FlowKey &key)
+{
+    EmulatedPacket packet;
+    packet.summary.flow = key;
+    packet.summary.hasAcknowledgement = true;
+    packet.summary.isFin = true;
+    send(packet);
+}
+
 void EmulatedTarget::returnPacket(EmulatedPacket packet)
 {
     packet.summary.isReturned = true;
--- a/Libraries/LibEmulator/EmulatedTarget.h
+++ b/Libraries/LibEmulator/EmulatedTarget.h
@@ -81,6 +81,8 @@
     };
 
     void send(EmulatedPacket packet);
+    /// Ends the target's side of a flow that the caller has finished.
+    void sendFin(const FlowKey &key);
     void returnPacket(EmulatedPacket packet);
     void receiveSyn(const EmulatedPacket &packet);
     void receiveData(const EmulatedPacket &packet, Flow &flow);
