EntrySearch: Send few packets to a target that nothing has confirmed

A target that was found by its agent's table got up to four buffered packets at once.

Change: after two packets to an unconfirmed target a search begins; two packets are buffered while it runs; a search waits one second for silent agents before it sends a probe.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -58,6 +58,11 @@
             resetFlow(summary.flow, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
         return;
     }
+    if (flow.evidence == FlowEvidence::Assumed && ++flow.unconfirmedPackets > entry.limits.maximumUnconfirmedPackets && !summary.isReset) {
+        flow.probedAt = now;
+        startSearch(entry, summary, flow, packet, now, output);
+        return;
+    }
     output.sendToAgent(flow.agent, {flow.service, EnvelopePurpose::Forward, packet});
     if (summary.isFin || summary.isReset)
         flow.isFinished = true;
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -25,8 +25,11 @@
 /// Limits and timeouts of an entry daemon.
 struct EntryRelayLimits {
     std::size_t flows = 60'000;
-    /// Packets of one flow that are buffered while the flow's target is being searched for.
-    std::size_t bufferedPackets = 4;
+    /// Packets of one flow that are buffered while the flow's target is being searched for. An agent may take an earlier flow with the same
+    /// ports for the flow; then its target gets all of them.
+    std::size_t bufferedPackets = 2;
+    /// Packets of an open flow that are forwarded to a target that nothing has confirmed to hold it. With the next one a search begins.
+    int maximumUnconfirmedPackets = 2;
     /// If a target has not answered a SYN within this time, the caller's next retransmission of the SYN goes to another target.
     Duration synTimeout {120};
     /// After this many agents have rejected a SYN as busy, the SYN goes to the target with the least expected cost, busy or
@@ -38,8 +41,10 @@
     /// An agent that was sent a probe is only queried until this time has passed, since the probe or its answer may still be waiting in
     /// a socket: further copies would reach targets that do not hold the flow.
     Duration probeRetryInterval {600};
-    /// Time between two probes of a search while an agent has not answered: its target may hold the flow, and get no packet for as long.
-    /// The users' rule on open flows allows two packets at other targets in two seconds, and two entry daemons may search for one flow.
+    /// How long a search waits for agents that have not answered before it sends a probe, and the time between two such probes. The target
+    /// of a silent agent may hold the flow, and get no packet for as long. The users' rule on open flows allows two packets at other
+    /// targets in two seconds, and several entry daemons may search for one flow, one after the other.
+    Duration probeDelay {1'000};
     Duration probeInterval {2'500};
     /// A probe is sent only if the caller sent a packet to this entry daemon within this time. Otherwise the caller's packets reach another
     /// entry daemon by now, which searches too.
@@ -143,6 +148,8 @@
     Endpoint agent;
     ServiceId service = 0;
     FlowEvidence evidence = FlowEvidence::Assumed;
+    /// Packets that were forwarded while the evidence is `FlowEvidence::Assumed`.
+    int unconfirmedPackets = 0;
     /// Whether a FIN or a reset from the caller was forwarded.
     bool isFinished = false;
     /// The last acknowledgement number from the caller. The caller accepts a reset only near this sequence number.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -147,12 +147,14 @@
 }
 
 /// Sends the flow's first packet to targets whose agents cannot tell whether they hold the flow: to all of them if the flow's own target
-/// gets it too, and otherwise to one in `probeInterval`.
+/// gets it too, and otherwise, after `probeDelay`, to one in `probeInterval`.
 void probeUndecided(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
     if (flow.bufferedPackets.empty() || now - flow.bufferedAt >= entry.limits.probePacketValidity)
         return;
     const bool areAllProbed = isTargetAmongUndecided(entry, flow, now);
+    if (!areAllProbed && now - flow.searchStartedAt < entry.limits.probeDelay)
+        return;
     for (auto &candidate : flow.candidates) {
         const bool isProbePending = candidate.probedAt && now - *candidate.probedAt < entry.limits.probeRetryInterval;
         if (!candidate.isUndecided || !candidate.mayReceivePackets || isProbePending)
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -150,6 +150,7 @@
 {
     publish(makeTarget(1));
     receive(makeData(501), 2'000);
+    markAgentMessagesRead(m_entry, at(2'000));
     answer(agentOf(1), FlowVerdict::Unknown, 2'010);
     EXPECT_EQ(probeCount(), 1U);
     tickUntil(2'100, 2'500);
@@ -194,8 +195,55 @@
         publish(makeTarget(number));
     markAgentMessagesRead(m_entry, at(1'000));
     receive(makeData(501), 2'000);
-    for (std::uint32_t number = 1; number <= 4; ++number)
-        answer(agentOf(number), FlowVerdict::Unknown, 2'002);
+    const auto answerAll = [&](int milliseconds) {
+        for (std::uint32_t number = 1; number <= 4; ++number)
+            answer(agentOf(number), FlowVerdict::Unknown, milliseconds);
+    };
+    answerAll(2'002);
+    EXPECT_EQ(probeCount(), 0U);
+    receive(makeData(501), 3'000);
+    answerAll(3'002);
+    EXPECT_EQ(probeCount(), 1U);
+}
+
+// Failure: an entry daemon that wakes forwards a flow's packets to a target whose SYN-ACK the caller did not take, until that target's slow
+// agent returns them.
+TEST_F(EntrySearchTest, UnconfirmedTargetGetsFewPackets)
+{
+    publish(makeTarget(1));
+    receive(makeSyn(), 2'000);
+    for (int time = 2'100; time <= 2'400; time += 100)
+        receive(makeData(501), time);
+    EXPECT_EQ(probeCount(), 3U);
+    EXPECT_EQ(m_entry.flows.at(Flow).stage, EntryFlowStage::Searching);
+    answer(agentOf(1), FlowVerdict::Held, 2'410);
+    EXPECT_EQ(m_entry.flows.at(Flow).evidence, FlowEvidence::Held);
+    receive(makeData(501), 2'500);
+    EXPECT_EQ(m_output.sent.back().purpose, EnvelopePurpose::Forward);
+}
+
+// Failure: an agent takes an earlier flow with the same ports for the flow, and its target gets four packets at once.
+TEST_F(EntrySearchTest, TargetThatIsFoundGetsFewBufferedPackets)
+{
+    publish(makeTarget(1));
+    for (int time = 2'000; time < 2'040; time += 10)
+        receive(makeData(501), time);
+    answer(agentOf(1), FlowVerdict::Held, 2'050);
+    EXPECT_EQ(probeCount(), 2U);
+}
+
+// Failure: entry daemons are restarted one after the other, and each that a flow's packets reach sends one to another target at once.
+TEST_F(EntrySearchTest, SearchWaitsForSilentAgentsBeforeItProbes)
+{
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    for (int time = 2'000; time < 3'000; time += 100) {
+        receive(makeData(501), time);
+        answer(agentOf(1), FlowVerdict::Unknown, time + 10);
+    }
+    EXPECT_EQ(probeCount(), 0U);
+    receive(makeData(501), 3'000);
+    answer(agentOf(1), FlowVerdict::Unknown, 3'010);
     EXPECT_EQ(probeCount(), 1U);
 }
 
@@ -246,14 +294,26 @@
         receive(data, 2'000);
     }
     EXPECT_LE(m_output.sent.size(), 2'000U / 100);
-    // Probes share the bandwidth too.
-    const auto first = m_output.queries.back().first;
-    for (std::uint16_t port = 1; port <= 100; ++port) {
+}
+
+TEST_F(EntrySearchTest, ProbesStayWithinBandwidth)
+{
+    constexpr std::uint16_t Flows = 100;
+    publish(makeTarget(1));
+    for (std::uint16_t port = 1; port <= Flows; ++port) {
+        auto data = makeData(501);
+        data.flow.caller.port = port;
+        receive(data, 2'000);
+    }
+    markAgentMessagesRead(m_entry, at(2'000));
+    m_entry.searchBandwidth = makeTokenBucket(2'000, Duration(1'000));
+    for (std::uint16_t port = 1; port <= Flows; ++port) {
         auto flow = Flow;
         flow.caller.port = port;
-        answer(first, FlowVerdict::Unknown, 2'002, flow);
+        answer(agentOf(1), FlowVerdict::Unknown, 2'002, flow);
     }
-    EXPECT_LE(m_output.sent.size(), 2'000U / 100);
+    EXPECT_GT(probeCount(), 0U);
+    EXPECT_LE(probeCount(), 2'000U / 100);
     EXPECT_TRUE(m_output.hasRecorded(RelayReason::SearchDeferred));
 }
 
