EntrySearch: Search again when an agent's table was the only evidence

Cause: an open flow was reset when the agent that had answered 'held' denied it, closed its target or became unreachable.

Change: such a flow, and any open flow that a query's answer denies, is searched for again, also without a packet at hand; only a confirmed handshake allows a reset at once. A packet whose acknowledgement number is more than 76,800 away from that of the reset flow belongs to a later flow and starts a search.

Evidence: LateDenialDoesNotResetOpenFlow, FlowThatWasFoundInAgentTableIsSearchedForWhenTargetIsClosed, LaterFlowWithSamePortsIsNotReset fail on the code before. FlowIsResetWhenReplacingTargetDeniesIt now demands that the agent is asked again before the reset; AssumedFlowIsSearchedForWhenReplacingTargetDeniesIt now demands the search instead of the removal of the entry.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -52,7 +52,7 @@
 {
     detectRetransmission(entry, summary, flow, now, output);
     if (mayResetWithoutAgent(entry, summary.flow, flow.agent) && !summary.isReset) {
-        if (flow.evidence == FlowEvidence::Assumed)
+        if (flow.evidence == FlowEvidence::Assumed || flow.evidence == FlowEvidence::Held)
             startSearch(entry, summary, flow, packet, now, output);
         else
             resetFlow(summary.flow, flow, RelayReason::AgentUnreachable, flow.acknowledged, now, output);
@@ -89,6 +89,17 @@
     startSearch(entry, summary, entry.flows[key] = std::move(flow), packet, now, output);
 }
 
+/// Returns whether a packet belongs to a later flow with the same ports as one that this daemon has reset.
+bool isOfLaterFlow(const EntryRelay &entry, const EntryFlow &flow, const PacketSummary &summary)
+{
+    if (flow.stage != EntryFlowStage::Ended)
+        return false;
+    if (summary.isInitialSyn())
+        return true;
+    const auto distance = std::min(summary.acknowledgement - flow.acknowledged, flow.acknowledged - summary.acknowledgement);
+    return summary.hasAcknowledgement && distance > entry.limits.acknowledgementWindow;
+}
+
 void onKnownFlow(EntryRelay &entry,
                  const PacketSummary &summary,
                  EntryFlow &flow,
@@ -210,7 +221,7 @@
         const auto current = item++;
         auto &[key, flow] = *current;
         const bool isAtAgent = flow.stage == EntryFlowStage::Open && flow.agent == agent && !flow.isFinished;
-        if (isAtAgent && !resetIfConfirmed(key, flow, RelayReason::TargetGone, now, output))
+        if (isAtAgent && !endOpenFlow(entry, key, flow, RelayReason::TargetGone, now, output))
             entry.flows.erase(current);
     }
 }
@@ -226,15 +237,14 @@
     sendQueries(entry, now, output);
 }
 
-/// Applies an agent's answer on a flow that is open at its target according to the cache. Returns whether the flow's entry has to be
-/// removed, since its target was only assumed.
-[[nodiscard]] bool applyFinding(EntryFlow &flow, const FlowFinding &finding, TimePoint now, EntryOutput &output)
+/// Applies an agent's answer on a flow that is open at its target according to the cache. A denial may answer a query that was sent before
+/// the flow opened there, so it starts a search, in which the agent is asked again.
+void applyFinding(EntryRelay &entry, EntryFlow &flow, const FlowFinding &finding, TimePoint now, EntryOutput &output)
 {
-    if (finding.verdict == FlowVerdict::Held)
+    if (finding.verdict == FlowVerdict::Held && flow.evidence == FlowEvidence::Assumed)
         flow.evidence = FlowEvidence::Held;
-    if (finding.verdict != FlowVerdict::Denied || flow.isFinished)
-        return false;
-    return !resetIfConfirmed(finding.flow, flow, RelayReason::TargetGone, now, output);
+    if (finding.verdict == FlowVerdict::Denied && !flow.isFinished)
+        startSearchWithoutPacket(entry, finding.flow, flow, now, output);
 }
 
 } // namespace
@@ -281,7 +291,7 @@
         return;
     }
     const auto flow = entry.flows.find(summary.flow);
-    if (flow != entry.flows.end() && !(summary.isInitialSyn() && flow->second.stage == EntryFlowStage::Ended)) {
+    if (flow != entry.flows.end() && !isOfLaterFlow(entry, flow->second, summary)) {
         onKnownFlow(entry, summary, flow->second, packet, now, output);
         return;
     }
@@ -345,10 +355,9 @@
         const auto flow = entry.flows.find(finding.flow);
         if (flow == entry.flows.end())
             continue;
-        if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent) {
-            if (applyFinding(flow->second, finding, now, output))
-                entry.flows.erase(flow);
-        } else if (finding.verdict == FlowVerdict::Held)
+        if (flow->second.stage == EntryFlowStage::Open && flow->second.agent == agent)
+            applyFinding(entry, flow->second, finding, now, output);
+        else if (finding.verdict == FlowVerdict::Held)
             onFlowHeld(agent, answer.service, finding.flow, flow->second, now, output);
         else if (finding.verdict == FlowVerdict::Denied)
             onFlowDenied(entry, agent, finding.flow, flow->second, now, output);
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -53,6 +53,9 @@
     Duration maximumReadDelay {200};
     /// How long the entry of a finished or reset flow, or of an incomplete handshake, is kept to answer late packets.
     Duration endedFlowRetention {3'000};
+    /// Maximum distance of two acknowledgement numbers of one flow within `endedFlowRetention`. A packet with a more distant one belongs to
+    /// a later flow with the same ports.
+    std::uint32_t acknowledgementWindow = 76'800;
     /// How long the entry of an open flow is kept without packets.
     Duration flowIdleTimeout {62'000};
     /// For this long after a change of the routes, packets of unknown flows to addresses without a route are dropped instead of
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -409,11 +409,15 @@
     }
 }
 
-bool resetIfConfirmed(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output)
+bool endOpenFlow(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output)
 {
     if (flow.evidence == FlowEvidence::Assumed)
         return false;
-    resetFlow(key, flow, reason, flow.acknowledged, now, output);
+    const bool isFromAgentTable = flow.evidence == FlowEvidence::Held;
+    if (isFromAgentTable && !planSearch(entry, key, now).agents.empty())
+        startSearchWithoutPacket(entry, key, flow, now, output);
+    else
+        resetFlow(key, flow, reason, flow.acknowledged, now, output);
     return true;
 }
 
--- a/Libraries/LibCoordination/EntrySearch.h
+++ b/Libraries/LibCoordination/EntrySearch.h
@@ -63,9 +63,12 @@
 /// tries the reset again.
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output);
 
-/// Resets a flow whose cached target has terminated or is unreachable, if the flow was confirmed at that target. Returns false if the
-/// target was only assumed: the caller of this function then removes the entry, so that the flow's next packet starts a search.
-[[nodiscard]] bool resetIfConfirmed(const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output);
+/// Ends an open flow whose cached target has terminated or is unreachable. Resets the flow if its handshake was confirmed at that target.
+/// If the agent's flow table was the only evidence, searches for the flow again: the table may have had an earlier flow with the same
+/// ports. Returns false if the target was only assumed: the caller of this function then removes the entry, so that the flow's next
+/// packet starts a search.
+[[nodiscard]] bool
+endOpenFlow(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, RelayReason reason, TimePoint now, EntryOutput &output);
 
 /// Resets a flow and keeps its entry for `endedFlowRetention`.
 void resetFlow(const FlowKey &key, EntryFlow &flow, RelayReason reason, std::uint32_t sequence, TimePoint now, EntryOutput &output);
--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -18,15 +18,15 @@
 /// Ends an open flow when its target has terminated, or when the caller retransmits without an answer, the agent is
 /// unreachable too and the requests of the flow's route are idempotent.
 /// Returns whether the flow's entry has to be removed, since its target was only assumed.
-[[nodiscard]] bool checkOpenFlow(const EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
+[[nodiscard]] bool checkOpenFlow(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
     const auto *record = findByAgent(std::as_const(entry.directory), flow.agent);
     if (record == nullptr || flow.isFinished)
         return false;
     if (isTerminated(entry.directory, *record, now))
-        return !resetIfConfirmed(key, flow, RelayReason::TargetGone, now, output);
+        return !endOpenFlow(entry, key, flow, RelayReason::TargetGone, now, output);
     const bool isUnreachable = flow.isRetransmitting && mayResetWithoutAgent(entry, key, flow.agent);
-    return isUnreachable && !resetIfConfirmed(key, flow, RelayReason::AgentUnreachable, now, output);
+    return isUnreachable && !endOpenFlow(entry, key, flow, RelayReason::AgentUnreachable, now, output);
 }
 
 /// Returns whether this daemon has to know whether an agent answers: a request to it is unanswered, it announced its restart, or its
