AgentRelay: Keep an incomplete handshake for ten seconds

Cause: an agent forgot a SYN that its target had accepted after 3 s.

Change: the entry of an incomplete handshake is kept for 10 s; finished and reset flows are kept for 3 s as before.

Evidence: AgentRelayTest.IncompleteHandshakeIsNotDeniedWhileItsPacketsMayWait fails on the code before.

--- a/Libraries/LibCoordination/AgentRelay.cpp
+++ b/Libraries/LibCoordination/AgentRelay.cpp
@@ -71,6 +71,7 @@
     if (auto *flow = findOrCreateFlow(agent, summary.flow, now)) {
         flow->entry = entry;
         flow->lastSeenAt = now;
+        flow->isReset = false;
     }
 }
 
@@ -97,6 +98,7 @@
     // The target decides whether it accepts the reset. The entry stays for a while, so that the flow is not denied without a probe.
     if (summary.isReset) {
         closeFlow(agent, flow);
+        flow.isReset = true;
         return;
     }
     if (!isOpenedBy(flow, summary))
@@ -209,11 +211,17 @@
         closeFlow(agent, flow);
 }
 
+Duration flowRetention(const AgentRelay &agent, const AgentFlow &flow)
+{
+    const bool isFinished = (flow.isTargetFinished && flow.isCallerFinished) || flow.isReset;
+    if (isFinished)
+        return agent.limits.finishedFlowRetention;
+    return flow.isOpen ? agent.limits.flowIdleTimeout : agent.limits.handshakeRetention;
+}
+
 bool isExpired(const AgentRelay &agent, const AgentFlow &flow, TimePoint now)
 {
-    const bool isFinished = flow.isTargetFinished && flow.isCallerFinished;
-    const bool isEmbryonic = !flow.isOpen;
-    return now - flow.lastSeenAt >= (isFinished || isEmbryonic ? agent.limits.finishedFlowRetention : agent.limits.flowIdleTimeout);
+    return now - flow.lastSeenAt >= flowRetention(agent, flow);
 }
 
 void removeExpired(AgentRelay &agent, TimePoint now)
--- a/Libraries/LibCoordination/AgentRelay.h
+++ b/Libraries/LibCoordination/AgentRelay.h
@@ -27,8 +27,11 @@
     Duration reportInterval {250};
     /// Limit on reports per second to all entry daemons together. With many entry daemons, each one gets reports less often.
     int reportsPerSecond = 25;
-    /// How long the entry of a finished flow, an incomplete handshake or an unanswered probe is kept.
+    /// How long the entry of a finished flow or an unanswered probe is kept.
     Duration finishedFlowRetention {3'000};
+    /// How long the entry of an incomplete handshake is kept. The caller's acknowledgement may wait for seconds in the sockets of daemons
+    /// that are short of processor time, and the target still accepts it.
+    Duration handshakeRetention {10'000};
     /// How long the entry of an open flow is kept without packets.
     Duration flowIdleTimeout {62'000};
     /// Maximum lifetime of a flow. An agent that has run for this long has received packets of every open flow of its target.
@@ -60,6 +63,8 @@
     /// other than a SYN-ACK.
     bool isOpen = false;
     bool isCallerFinished = false;
+    /// Whether the caller has sent a reset.
+    bool isReset = false;
     bool isTargetFinished = false;
 };
 
--- a/Tests/LibCoordination/TestAgentRelay.cpp
+++ b/Tests/LibCoordination/TestAgentRelay.cpp
@@ -193,6 +193,23 @@
     EXPECT_EQ(m_output.notices.back().second.kind, NoticeKind::Held);
 }
 
+// Failure: the caller's acknowledgement waits in the socket of a slow daemon for more than three seconds, the agent has forgotten the
+// handshake, denies the flow, and the flow that the target opens is reset.
+TEST_F(AgentRelayTest, IncompleteHandshakeIsNotDeniedWhileItsPacketsMayWait)
+{
+    m_agent.hasCompleteFlowTable = true;
+    receive(makeSyn(), EnvelopePurpose::Forward, 0);
+    auto accepted = makeSyn();
+    accepted.sequence = 500;
+    receiveFromTarget(accepted, 1);
+    const auto verdictAt = [&](int milliseconds) {
+        onAgentTick(m_agent, at(milliseconds), m_output);
+        return answerQuery(m_agent, Entry, {Ledger, {Flow}}, at(milliseconds)).findings.front().verdict;
+    };
+    EXPECT_EQ(verdictAt(9'900), FlowVerdict::Unknown);
+    EXPECT_EQ(verdictAt(10'100), FlowVerdict::Denied);
+}
+
 // An open flow was reset because the agent of a target with only an incomplete handshake of it claimed to hold it: a probe for the
 // flow, which the target returned, had marked the flow as open.
 TEST_F(AgentRelayTest, ReturnedProbeOfIncompleteHandshakeIsNotHeldAfterwards)
