EntryRelay: Count the wait for expired entries from the store's last return

Cause: flows that no listed target holds are not reset for 2.5 s after a daemon's first list, since entries that expired in an outage may be missing.

Change: StoreReader reports when the store responds for the first time or again. If no list counted as complete by then, the wait starts again.

Evidence: EntrySearchTest.DeniedFlowIsNotResetRightAfterSecondOutage fails on the code before.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -381,6 +381,12 @@
         entry.firstTargetListAsOf = asOf;
 }
 
+void markPlatformReachable(EntryRelay &entry, TimePoint now)
+{
+    if (mayListLackTargets(entry, now))
+        entry.firstTargetListAsOf.reset();
+}
+
 bool setRoutes(EntryRelay &entry, RouteTable routes, TimePoint now)
 {
     if (routes.version <= entry.routes.version)
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -64,7 +64,7 @@
     /// Maximum time that the platform takes to report a change to a watch.
     Duration watchLatency {150};
     /// A flow that every agent denied is reset once the list of targets is current. If the requests of its route are idempotent, the
-    /// flow is reset after this time even with an older list, though not before `relistingTime` after the first list: waiting longer
+    /// flow is reset after this time even with an older list, though not while the list may lack targets that serve: waiting longer
     /// for a slow platform costs the caller more than opening another flow.
     Duration maximumResetDelay {300};
     /// Targets whose entries expired while the platform was unavailable, or that registered after the copy from which it was restored, are
@@ -185,7 +185,8 @@
     bool hasTargetList = false;
     /// The directory holds every target that the platform listed up to this time; zero before the platform itself was read.
     TimePoint targetsCurrentAsOf;
-    /// The time up to which the first list that was read from the platform is complete; nothing before it.
+    /// The time up to which the first list that was read from the platform is complete; nothing before it. If the platform was unreachable
+    /// before that list could count as complete, the first list since its return.
     std::optional<TimePoint> firstTargetListAsOf;
     /// Start of the current watch on the platform, which has reported nothing so far; nothing while no watch is open.
     std::optional<TimePoint> watchStartedAt;
@@ -248,6 +249,10 @@
 /// Records that the platform has reported all changes up to a time.
 void markTargetsCurrent(EntryRelay &entry, TimePoint asOf);
 
+/// Records that the platform is reachable again, or for the first time. Entries that expired while it was unavailable are listed again
+/// within `relistingTime` from now on. Call before its list is applied.
+void markPlatformReachable(EntryRelay &entry, TimePoint now);
+
 /// Applies a route table if its version is newer than the current one. Returns whether it was applied.
 bool setRoutes(EntryRelay &entry, RouteTable routes, TimePoint now);
 
--- a/Libraries/LibEmulator/EmulatedEntry.cpp
+++ b/Libraries/LibEmulator/EmulatedEntry.cpp
@@ -99,6 +99,11 @@
     retryPendingResets(m_relay, m_events.now(), *this);
 }
 
+void EmulatedEntry::onReachable()
+{
+    markPlatformReachable(m_relay, m_events.now());
+}
+
 void EmulatedEntry::queryPeers()
 {
     const bool isWaiting = m_events.now() - m_relay.startedAt < InitialReadTimeout;
--- a/Libraries/LibEmulator/EmulatedEntry.h
+++ b/Libraries/LibEmulator/EmulatedEntry.h
@@ -49,6 +49,7 @@
     void onTarget(const PublishedTarget &target) override;
     void onWithdrawal(MemberId target, Duration grace) override;
     void onCurrent(TimePoint asOf) override;
+    void onReachable() override;
     void onWatch(std::optional<TimePoint> startedAt) override { m_relay.watchStartedAt = startedAt; }
 
     void handleDatagram(const Endpoint &agent, std::span<const std::byte> datagram);
--- a/Libraries/LibEmulator/EmulatedStoreClient.cpp
+++ b/Libraries/LibEmulator/EmulatedStoreClient.cpp
@@ -86,9 +86,10 @@
 
 void EmulatedStoreClient::succeed()
 {
-    if (!m_isReachable)
+    if (!std::exchange(m_isReachable, true)) {
         m_reachableSince = m_events.now();
-    m_isReachable = true;
+        m_output.onReachable();
+    }
     m_failures = 0;
 }
 
--- a/Libraries/LibEmulator/EmulatedStoreClient.h
+++ b/Libraries/LibEmulator/EmulatedStoreClient.h
@@ -19,6 +19,7 @@
     virtual void onTarget(const PublishedTarget &target) = 0;
     virtual void onWithdrawal(MemberId target, Duration grace) = 0;
     virtual void onCurrent(TimePoint asOf) = 0;
+    virtual void onReachable() = 0;
     virtual void onWatch(std::optional<TimePoint> startedAt) = 0;
 };
 
--- a/Libraries/LibTransport/RelayUpdates.h
+++ b/Libraries/LibTransport/RelayUpdates.h
@@ -22,6 +22,10 @@
     TimePoint asOf;
 };
 
+/// The platform responded for the first time, or again after a failure.
+struct PlatformReachable {
+};
+
 /// A watch request to the platform started or ended.
 struct WatchStateChanged {
     /// When the watch request that waits for changes was sent. Empty if there is none.
@@ -55,6 +59,7 @@
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::RoutesReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::TargetsCurrent)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::PlatformReachable)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::WatchStateChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::RefreshRequest)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::TargetsListed)
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -202,6 +202,7 @@
                     markTargetsCurrent(m_relay, current.asOf);
                     retryPendingResets(m_relay, currentTime(), *this);
                 },
+                [&](PlatformReachable) { markPlatformReachable(m_relay, currentTime()); },
                 [&](const WatchStateChanged &changed) { m_relay.watchStartedAt = changed.watchStartedAt; },
                 [&](const TargetPublished &published) { applyPublishedTarget(published.target); },
                 [&](const TargetWithdrawn &withdrawn) { withdrawTarget(withdrawn.target, withdrawn.grace); },
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -98,6 +98,26 @@
     EXPECT_EQ(m_output.resets.size(), 1U);
 }
 
+// Failure: a daemon that started between two outages of the store resets flows as soon as the second one ends, though its list lacks
+// targets whose entries expired in it.
+TEST_F(EntrySearchTest, DeniedFlowIsNotResetRightAfterSecondOutage)
+{
+    m_entry.firstTargetListAsOf = Start;
+    m_entry.watchStartedAt.reset();
+    m_entry.routes.routes[ServiceAddress].isIdempotent = true;
+    publish(makeTarget(1));
+    receive(makeData(501), 500);
+    notify(1, NoticeKind::Denied, 502);
+    tickUntil(600, 5'000);
+    markPlatformReachable(m_entry, at(5'000));
+    markTargetsCurrent(m_entry, at(5'000));
+    m_entry.watchStartedAt = at(5'000);
+    tickUntil(5'100, 7'600);
+    EXPECT_TRUE(m_output.resets.empty());
+    tickUntil(7'700, 7'800);
+    EXPECT_EQ(m_output.resets.size(), 1U);
+}
+
 TEST_F(EntrySearchTest, TargetListedAfterAllDenialsIsAsked)
 {
     publish(makeTarget(1));
--- a/Tests/LibEmulator/TestRandomDisruptions.cpp
+++ b/Tests/LibEmulator/TestRandomDisruptions.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <cstdlib>
 #include <sstream>
 
@@ -13,25 +14,32 @@
 constexpr Endpoint CatalogueAddress {0xc6120002, 443};
 constexpr Endpoint OrdersAddress {0xc6120003, 443};
 constexpr std::uint64_t DefaultSeedCount = 30;
+/// Seeds that failed once. Resets: 48 and 2406 right after a second outage of the store; 2055 of a late SYN copy; 2264, 2590 on the word of
+/// an agent that had an earlier flow with the same ports; 2842 after an agent had forgotten an incomplete handshake. The others by packets
+/// at targets that do not hold the flow: probes of several entry daemons, unconfirmed targets, former services.
+constexpr std::array<std::uint64_t, 26> RegressionSeeds {48,   2004, 2030, 2055, 2090, 2092, 2109, 2200, 2247, 2264, 2278, 2320, 2381,
+                                                         2406, 2420, 2501, 2502, 2544, 2551, 2582, 2590, 2623, 2627, 2670, 2730, 2842};
 /// Every tenth simulation is a large one.
 constexpr std::uint64_t LargeInterval = 10;
 constexpr Duration DisruptionTime {18'000};
 constexpr Duration CallerTime {27'000};
 constexpr Duration RunTime {32'000};
 
-/// Returns the seeds from the environment variable PAPAYA_EMULATOR_SEEDS, like 7 or 1-2000, or a short range.
+/// Returns the seeds from the environment variable PAPAYA_EMULATOR_SEEDS, like 7 or 1-2000, or a short range and the regression seeds.
 std::vector<std::uint64_t> seedsFromEnvironment()
 {
     std::uint64_t first = 1;
     std::uint64_t last = DefaultSeedCount;
+    std::vector<std::uint64_t> seeds;
     if (const auto *text = std::getenv("PAPAYA_EMULATOR_SEEDS")) {
         std::istringstream stream(text);
         char separator = 0;
         stream >> first;
         if (!(stream >> separator >> last))
             last = first;
+    } else {
+        seeds.assign(RegressionSeeds.begin(), RegressionSeeds.end());
     }
-    std::vector<std::uint64_t> seeds;
     for (auto seed = first; seed <= last; ++seed)
         seeds.push_back(seed);
     return seeds;
