--- a/Libraries/Generated/Knowledge_generated.h
+++ b/Libraries/Generated/Knowledge_generated.h
@@ -440,7 +440,9 @@
     VT_IDLE_TIMEOUT_MS = 8,
     VT_ROUTES = 10,
     VT_TARGETS = 12,
-    VT_CHANGE_ERA = 14
+    VT_CHANGE_ERA = 14,
+    VT_IS_SETTLED = 16,
+    VT_WITHDRAWN = 18
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -460,6 +462,12 @@
   uint64_t change_era() const {
     return GetField<uint64_t>(VT_CHANGE_ERA, 0);
   }
+  bool is_settled() const {
+    return GetField<uint8_t>(VT_IS_SETTLED, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>> *withdrawn() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>> *>(VT_WITHDRAWN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -472,6 +480,10 @@
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
            VerifyField<uint64_t>(verifier, VT_CHANGE_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_SETTLED, 1) &&
+           VerifyOffset(verifier, VT_WITHDRAWN) &&
+           verifier.VerifyVector(withdrawn()) &&
+           verifier.VerifyVectorOfTables(withdrawn()) &&
            verifier.EndTable();
   }
 };
@@ -498,6 +510,12 @@
   void add_change_era(uint64_t change_era) {
     fbb_.AddElement<uint64_t>(Knowledge::VT_CHANGE_ERA, change_era, 0);
   }
+  void add_is_settled(bool is_settled) {
+    fbb_.AddElement<uint8_t>(Knowledge::VT_IS_SETTLED, static_cast<uint8_t>(is_settled), 0);
+  }
+  void add_withdrawn(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>> withdrawn) {
+    fbb_.AddOffset(Knowledge::VT_WITHDRAWN, withdrawn);
+  }
   explicit KnowledgeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -516,14 +534,18 @@
     uint32_t idle_timeout_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Route>>> routes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>> targets = 0,
-    uint64_t change_era = 0) {
+    uint64_t change_era = 0,
+    bool is_settled = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>> withdrawn = 0) {
   KnowledgeBuilder builder_(_fbb);
   builder_.add_change_era(change_era);
   builder_.add_change_revision(change_revision);
   builder_.add_version(version);
+  builder_.add_withdrawn(withdrawn);
   builder_.add_targets(targets);
   builder_.add_routes(routes);
   builder_.add_idle_timeout_ms(idle_timeout_ms);
+  builder_.add_is_settled(is_settled);
   return builder_.Finish();
 }
 
@@ -534,9 +556,12 @@
     uint32_t idle_timeout_ms = 0,
     const std::vector<flatbuffers::Offset<Papaya::KnowledgeWire::Route>> *routes = nullptr,
     const std::vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>> *targets = nullptr,
-    uint64_t change_era = 0) {
+    uint64_t change_era = 0,
+    bool is_settled = false,
+    const std::vector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>> *withdrawn = nullptr) {
   auto routes__ = routes ? _fbb.CreateVector<flatbuffers::Offset<Papaya::KnowledgeWire::Route>>(*routes) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>(*targets) : 0;
+  auto withdrawn__ = withdrawn ? _fbb.CreateVector<flatbuffers::Offset<Papaya::KnowledgeWire::Target>>(*withdrawn) : 0;
   return Papaya::KnowledgeWire::CreateKnowledge(
       _fbb,
       version,
@@ -544,7 +569,9 @@
       idle_timeout_ms,
       routes__,
       targets__,
-      change_era);
+      change_era,
+      is_settled,
+      withdrawn__);
 }
 
 inline const Papaya::KnowledgeWire::Knowledge *GetKnowledge(const void *buf) {
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -50,7 +50,7 @@
     /// entry daemon by now, which searches too.
     Duration probePacketValidity {1'000};
     /// An entry daemon that has not read the messages of the last while is overloaded. The answer to a probe would wait in its socket.
-    Duration maximumReadDelay {200};
+    Duration maximumReadDelay {1'000};
     /// How long the entry of a finished or reset flow, or of an incomplete handshake, is kept to answer late packets.
     Duration endedFlowRetention {3'000};
     /// Maximum distance of two acknowledgement numbers of one flow within `endedFlowRetention`. A packet with a more distant one belongs to
@@ -71,6 +71,9 @@
     /// listed again within this time of its return. A daemon that has just started does not know when the platform returned, so its first
     /// list may lack them for this long.
     Duration relistingTime {2'500};
+    /// A target that started within this time of the daemon's start, before or after, started together with it. The platform keeps an entry
+    /// for three heartbeat intervals, which is longer, so the entry of such a target has not expired yet.
+    Duration commonStartTime {2'000};
     /// Maximum lifetime of a flow. For this long after its start an entry daemon may have missed services that a route had
     /// earlier and whose flows are still open.
     Duration maximumFlowAge {62'000};
@@ -92,8 +95,9 @@
     Endpoint agent;
     ServiceId service = 0;
     TimePoint sentAt;
-    /// While searching: whether the target may be sent the flow's packets, and when one was last sent to it as a probe.
-    bool mayReceivePackets = true;
+    /// While searching: whether the flow's address has the target's service or is known to have had it.
+    bool isRelated = true;
+    /// While searching: when a packet was last sent to the target as a probe.
     std::optional<TimePoint> probedAt {};
     /// While searching: whether the agent answered the last query that it cannot tell whether its target holds the flow.
     bool isUndecided = false;
@@ -169,6 +173,15 @@
     TimePoint searchStartedAt;
 };
 
+/// What other entry daemons have told this one since its start.
+enum class PeerEvidence : std::uint8_t {
+    None,
+    /// One of them has a settled list, and this daemon has all its targets.
+    Settled,
+    /// All peers were asked, and none has a settled list: they have started lately too, or do not answer.
+    SystemStart,
+};
+
 /// The state of one entry daemon.
 struct EntryRelay {
     EntryRelayLimits limits;
@@ -179,6 +192,9 @@
     /// The services that each address had in earlier route tables. Existing flows stay at their targets when a route changes.
     std::unordered_map<Endpoint, std::vector<ServiceId>> formerServices;
     TimePoint startedAt;
+    /// The VM's wall-clock time at the daemon's start, in Unix milliseconds, to compare with the incarnations of targets; 0 if unknown.
+    Incarnation startIncarnation = 0;
+    PeerEvidence peerEvidence = PeerEvidence::None;
     /// Time of the last packet, message or tick.
     TimePoint lastActiveAt;
     /// Whether a list of targets was read since the start, from the platform or from another entry daemon.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -59,6 +59,37 @@
     return completeAt >= time;
 }
 
+/// Returns whether a run of a target holds no flow from before this daemon's start: it began together with the daemon, or has ended.
+bool isRunNew(const EntryRelay &entry, const TargetRecord &record)
+{
+    if (record.load.state == TargetState::Closed)
+        return true;
+    if (entry.startIncarnation == 0 || record.published.incarnation == 0)
+        return false;
+    const auto difference =
+        std::max(entry.startIncarnation, record.published.incarnation) - std::min(entry.startIncarnation, record.published.incarnation);
+    return difference <= static_cast<Incarnation>(entry.limits.commonStartTime.count());
+}
+
+/// Returns whether every listed target whose agent has sent a message began its run together with this daemon, and these are at least half
+/// of the listed targets. Then the whole system has lost power, and a target that the list lacks holds no earlier flow either.
+bool haveAllTargetsJustStarted(const EntryRelay &entry)
+{
+    std::size_t listed = 0;
+    std::size_t newRuns = 0;
+    for (const auto &[id, record] : entry.directory.targets) {
+        if (record.withdrawnAt)
+            continue;
+        ++listed;
+        if (!record.lastMessageAt)
+            continue;
+        if (!isRunNew(entry, record))
+            return false;
+        ++newRuns;
+    }
+    return newRuns > 0 && newRuns * 2 >= listed;
+}
+
 /// Returns whether the requests of a flow are idempotent, so that callers repeat them when the flow is reset.
 bool isIdempotent(const EntryRelay &entry, const FlowKey &flow)
 {
@@ -134,38 +165,61 @@
     return agents;
 }
 
-/// Returns whether the flow's target is among those whose agents cannot tell, is reachable and may receive the flow's packets: every other
-/// agent has denied the flow or is unreachable.
+/// Returns whether the flow's target is among those whose agents cannot tell, and is reachable: the list has every target that serves, and
+/// every other agent has denied the flow or is unreachable.
 bool isTargetAmongUndecided(const EntryRelay &entry, const EntryFlow &flow, TimePoint now)
 {
     if (!flow.areAllAgentsAsked || now - entry.directory.messagesReadUntil >= entry.limits.maximumReadDelay)
         return false;
+    // While the whole system starts, callers are served sooner if their flows are found among the listed targets at once.
+    if (mayListLackTargets(entry, now) && entry.peerEvidence != PeerEvidence::SystemStart)
+        return false;
     return std::all_of(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) {
         const auto *record = findByAgent(entry.directory, candidate.agent);
-        return (candidate.isUndecided && candidate.mayReceivePackets) || (record != nullptr && isUnreachable(entry.directory, *record));
+        return candidate.isUndecided || (record != nullptr && isUnreachable(entry.directory, *record));
     });
 }
 
-/// Sends the flow's first packet to targets whose agents cannot tell whether they hold the flow: to all of them if the flow's own target
-/// gets it too, and otherwise, after `probeDelay`, to one in `probeInterval`.
+bool isProbePending(const EntryRelay &entry, const FlowCandidate &candidate, TimePoint now)
+{
+    return candidate.probedAt && now - *candidate.probedAt < entry.limits.probeRetryInterval;
+}
+
+/// Returns how many probes a search may send now. If the flow's own target gets a probe in time, a few may be on their way at once.
+/// Otherwise one is sent after `probeDelay`, and one in each `probeInterval`.
+std::size_t availableProbes(const EntryRelay &entry, const EntryFlow &flow, TimePoint now)
+{
+    if (isTargetAmongUndecided(entry, flow, now)) {
+        const auto pending = std::count_if(flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) {
+            return isProbePending(entry, candidate, now);
+        });
+        return entry.weights.candidates - std::min(static_cast<std::size_t>(pending), entry.weights.candidates);
+    }
+    const bool isWaiting = now - flow.searchStartedAt < entry.limits.probeDelay;
+    const bool hasJustProbed = flow.probedAt && now - *flow.probedAt < entry.limits.probeInterval;
+    return isWaiting || hasJustProbed ? 0 : 1;
+}
+
+/// Sends the flow's first packet to targets whose agents cannot tell whether they hold the flow. Targets of services that the flow's
+/// address is not known to have had come last, once all others have denied the flow.
 void probeUndecided(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
     if (flow.bufferedPackets.empty() || now - flow.bufferedAt >= entry.limits.probePacketValidity)
         return;
-    const bool areAllProbed = isTargetAmongUndecided(entry, flow, now);
-    if (!areAllProbed && now - flow.searchStartedAt < entry.limits.probeDelay)
-        return;
+    auto available = availableProbes(entry, flow, now);
+    const bool hasRelated =
+        std::any_of(flow.candidates.begin(), flow.candidates.end(), [](const FlowCandidate &candidate) { return candidate.isRelated; });
     for (auto &candidate : flow.candidates) {
-        const bool isProbePending = candidate.probedAt && now - *candidate.probedAt < entry.limits.probeRetryInterval;
-        if (!candidate.isUndecided || !candidate.mayReceivePackets || isProbePending)
-            continue;
-        if (!areAllProbed && flow.probedAt && now - *flow.probedAt < entry.limits.probeInterval)
+        if (available == 0)
             return;
+        if (!candidate.isUndecided || isProbePending(entry, candidate, now) || candidate.isRelated != hasRelated)
+            continue;
         if (!sendProbe(entry, candidate, flow.bufferedPackets.front(), now, output)) {
             output.recordDecision(key, RelayReason::SearchDeferred, candidate.agent);
             return;
         }
         flow.probedAt = now;
+        --available;
     }
 }
 
@@ -395,7 +449,11 @@
 
 bool mayListLackTargets(const EntryRelay &entry, TimePoint now)
 {
-    return !entry.firstTargetListAsOf || !areTargetsCurrentAsOf(entry, *entry.firstTargetListAsOf + entry.limits.relistingTime, now);
+    if (!entry.firstTargetListAsOf)
+        return true;
+    if (entry.peerEvidence == PeerEvidence::Settled || haveAllTargetsJustStarted(entry))
+        return false;
+    return !areTargetsCurrentAsOf(entry, *entry.firstTargetListAsOf + entry.limits.relistingTime, now);
 }
 
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output)
--- a/Libraries/LibCoordination/EntrySearch.h
+++ b/Libraries/LibCoordination/EntrySearch.h
@@ -55,8 +55,9 @@
 /// without the agent's answer. A flow whose request must not run twice is not reset, since its target may still answer.
 [[nodiscard]] bool mayResetWithoutAgent(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent);
 
-/// Returns whether the list of targets may lack targets that serve: it comes from another entry daemon, or it is not
-/// complete up to the time at which entries that expired while the platform was unavailable are listed again.
+/// Returns whether the list of targets may lack targets that serve. It lacks none once it is complete up to the time at which entries that
+/// expired while the platform was unavailable are listed again. Earlier evidence is the answer of a peer whose list is settled, or that all
+/// targets have started together with this daemon. A list from another entry daemon alone may lack targets.
 [[nodiscard]] bool mayListLackTargets(const EntryRelay &entry, TimePoint now);
 
 /// Continues the searches whose reset waits for a current list of targets: asks the agents of targets that were listed since, or
--- a/Libraries/LibCoordination/RelayKnowledge.cpp
+++ b/Libraries/LibCoordination/RelayKnowledge.cpp
@@ -1,5 +1,8 @@
 #include "LibCoordination/RelayKnowledge.h"
 
+#include "LibCoordination/EntrySearch.h"
+#include "LibCoordination/RendezvousHash.h"
+
 #include <algorithm>
 
 namespace Papaya {
@@ -21,35 +24,86 @@
     }
 }
 
+/// Adds the targets that the peer's list no longer has, so that they are asked for earlier flows. Another target on the same VM goes first.
+void importWithdrawn(EntryRelay &entry, std::span<const PublishedTarget> targets, TimePoint now, EntryOutput &output)
+{
+    for (const auto &target : targets) {
+        if (entry.directory.targets.contains(target.id) || findByAgent(entry.directory, target.agent) != nullptr)
+            continue;
+        (void)onTargetPublished(entry, target, now, output);
+        (void)applyWithdrawn(entry.directory, target.id, now);
+    }
+}
+
+bool isListed(const TargetRecord &record, TimePoint now)
+{
+    return !record.withdrawnAt || *record.withdrawnAt > now;
+}
+
 } // namespace
 
+std::uint64_t knowledgeDigest(const EntryRelay &entry, TimePoint now)
+{
+    auto digest = hashOf(std::to_string(entry.routes.version));
+    for (const auto &[id, record] : entry.directory.targets) {
+        if (isTerminated(entry.directory, record, now))
+            continue;
+        const auto &target = record.published;
+        const auto *state = !isListed(record, now) ? "/withdrawn" : target.isDraining ? "/draining" : "/ready";
+        digest ^= hashOf(std::to_string(id) + "/" + std::to_string(target.incarnation) + state);
+    }
+    return digest;
+}
+
+std::optional<RelayKnowledge> answerKnowledgeRequest(const EntryRelay &entry, const std::optional<std::uint64_t> &digest, TimePoint now)
+{
+    if (!hasRoutesAndTargets(entry))
+        return std::nullopt;
+    const bool isSettled = !mayListLackTargets(entry, now);
+    if (digest && (!isSettled || *digest == knowledgeDigest(entry, now)))
+        return RelayKnowledge {{}, {}, {}, isSettled};
+    return exportKnowledge(entry, now);
+}
+
+void finishPeerQueries(EntryRelay &entry)
+{
+    if (entry.peerEvidence == PeerEvidence::None)
+        entry.peerEvidence = PeerEvidence::SystemStart;
+}
+
 std::optional<RelayKnowledge> exportKnowledge(const EntryRelay &entry, TimePoint now)
 {
     if (!hasRoutesAndTargets(entry))
         return std::nullopt;
     RelayKnowledge knowledge;
+    knowledge.isSettled = !mayListLackTargets(entry, now);
     knowledge.routes = entry.routes;
     for (const auto &[id, record] : entry.directory.targets) {
-        if (record.withdrawnAt && *record.withdrawnAt <= now)
+        if (isTerminated(entry.directory, record, now))
             continue;
         auto target = record.published;
         target.coldTime = std::max<Duration>(record.coldUntil - now, Duration(0));
-        knowledge.targets.push_back(std::move(target));
+        auto &list = isListed(record, now) ? knowledge.targets : knowledge.withdrawnTargets;
+        list.push_back(std::move(target));
     }
     return knowledge;
 }
 
 bool importKnowledge(EntryRelay &entry, const RelayKnowledge &knowledge, TimePoint now, EntryOutput &output)
 {
+    if (knowledge.isSettled)
+        entry.peerEvidence = PeerEvidence::Settled;
     if (knowledge.routes.version == 0)
         return false;
     const bool isApplied = setRoutes(entry, knowledge.routes, now);
     if (entry.hasTargetList) {
         mergeTargets(entry, knowledge.targets, now, output);
+        importWithdrawn(entry, knowledge.withdrawnTargets, now, output);
         return isApplied;
     }
     for (const auto &target : knowledge.targets)
         (void)onTargetPublished(entry, target, now, output);
+    importWithdrawn(entry, knowledge.withdrawnTargets, now, output);
     markTargetsListed(entry, now);
     return isApplied;
 }
--- a/Libraries/LibCoordination/RelayKnowledge.h
+++ b/Libraries/LibCoordination/RelayKnowledge.h
@@ -14,8 +14,26 @@
 struct RelayKnowledge {
     RouteTable routes;
     std::vector<PublishedTarget> targets;
+    /// Targets that are no longer listed and get no new flows, but may still hold earlier ones.
+    std::vector<PublishedTarget> withdrawnTargets;
+    /// Whether the sender's list includes every target that serves, also those whose entries expired while the platform was unavailable.
+    bool isSettled = false;
 };
 
+/// Returns a number that two entry daemons with the same routes and targets have in common.
+[[nodiscard]] std::uint64_t knowledgeDigest(const EntryRelay &entry, TimePoint now);
+
+/// Answers a daemon that has just started; returns nothing before this one has read routes and targets. `digest` is that of the routes and
+/// targets that the asking daemon has read from the platform. The answer omits routes and targets if that daemon has the same, or if this
+/// daemon's list is not settled: then it was read from the platform as recently as the other one's. Answers stay small while all
+/// daemons start at once.
+[[nodiscard]] std::optional<RelayKnowledge>
+answerKnowledgeRequest(const EntryRelay &entry, const std::optional<std::uint64_t> &digest, TimePoint now);
+
+/// Records that no further answer of a peer is expected. If none of them came from a daemon with a settled list, the system has started as
+/// a whole.
+void finishPeerQueries(EntryRelay &entry);
+
 /// Returns a snapshot for other entry daemons, or nothing before this one has read routes and targets. Targets whose withdrawal
 /// is in effect are left out.
 [[nodiscard]] std::optional<RelayKnowledge> exportKnowledge(const EntryRelay &entry, TimePoint now);
@@ -26,8 +44,9 @@
 /// as withdrawn after `EntryRelayLimits::relistingTime` unless the platform lists them by then.
 ///
 /// The targets of a snapshot do not count as a current list: a flow that no target is known to hold is not reset before the
-/// platform itself was read, and `EntryRelayLimits::relistingTime` has passed since then (`RelayReason::HeldByNobody`,
-/// `RelayReason::AgentUnreachable`). A flow to an address for which the snapshot has no route is reset (`RelayReason::UnknownRoute`).
+/// platform itself was read, and, unless the snapshot is settled, `EntryRelayLimits::relistingTime` has passed since then
+/// (`RelayReason::HeldByNobody`, `RelayReason::AgentUnreachable`). A flow to an address for which the snapshot has no route is reset
+/// (`RelayReason::UnknownRoute`).
 bool importKnowledge(EntryRelay &entry, const RelayKnowledge &knowledge, TimePoint now, EntryOutput &output);
 
 } // namespace Papaya
--- a/Libraries/LibCoordination/SearchPlan.cpp
+++ b/Libraries/LibCoordination/SearchPlan.cpp
@@ -33,14 +33,14 @@
 }
 
 /// Appends targets to a plan in the order in which the flow's hash ranks them.
-void appendRanked(SearchPlan &plan, std::span<const PublishedTarget *const> targets, const FlowKey &flow, bool mayReceivePackets)
+void appendRanked(SearchPlan &plan, std::span<const PublishedTarget *const> targets, const FlowKey &flow, bool isRelated)
 {
     std::vector<std::uint64_t> ids;
     ids.reserve(targets.size());
     for (const auto *target : targets)
         ids.push_back(target->id);
     for (const auto index : rendezvousRank(ids, hashOf(flow), ids.size()))
-        plan.agents.push_back({targets[index]->agent, targets[index]->service, {}, mayReceivePackets});
+        plan.agents.push_back({targets[index]->agent, targets[index]->service, {}, isRelated});
 }
 
 } // namespace
--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -99,8 +99,11 @@
 {
     if (!record.unanswered || record.unanswered->queryCount < directory.limits.minimumUnansweredQueries)
         return false;
-    const bool isRestarting = record.load.state == TargetState::AgentRestarting;
-    const auto timeout = isRestarting ? std::max(time, directory.limits.plannedRestartTimeout) : time;
+    auto timeout = time;
+    if (!record.lastMessageAt)
+        timeout = std::max(timeout, directory.limits.unheardAgentTimeout);
+    if (record.load.state == TargetState::AgentRestarting)
+        timeout = std::max(timeout, directory.limits.plannedRestartTimeout);
     return directory.messagesReadUntil - record.unanswered->since >= timeout;
 }
 
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -92,6 +92,9 @@
     /// An agent that left a request unanswered for this long is unreachable. An agent that was killed, or whose announcement of its
     /// restart was lost, is running again within this time.
     Duration answerTimeout {2'000};
+    /// The same for an agent that has sent no message since this daemon's start, so that an announcement of its restart may have been
+    /// missed.
+    Duration unheardAgentTimeout {2'500};
     /// The same for an agent that announced its restart: the time that a process may take to stop and start.
     Duration plannedRestartTimeout {8'000};
     /// How often an agent with an unanswered request is queried again.
--- a/Libraries/LibEmulator/EmulatedEntry.cpp
+++ b/Libraries/LibEmulator/EmulatedEntry.cpp
@@ -38,8 +38,10 @@
     m_relay.weights = weights;
     m_relay.failureDomain = m_failureDomain;
     m_relay.startedAt = m_events.now();
+    m_relay.startIncarnation = static_cast<Incarnation>(m_events.now().time_since_epoch().count());
     m_isStopping = false;
     m_hasQueriedPeers = false;
+    m_arePeersQueried = false;
     m_tickedAt = {};
     m_subscribedAt = m_events.now();
     m_process.start();
@@ -107,22 +109,31 @@
 void EmulatedEntry::queryPeers()
 {
     const bool isWaiting = m_events.now() - m_relay.startedAt < InitialReadTimeout;
-    if (m_hasQueriedPeers || hasRoutesAndTargets(m_relay) || isWaiting)
+    if (m_hasQueriedPeers || (!hasRoutesAndTargets(m_relay) && isWaiting))
         return;
     m_hasQueriedPeers = true;
     m_events.schedule(PeerQueryTime, [this, generation = m_process.generation()] {
         if (m_process.generation() != generation)
             return;
-        const auto knowledge = m_network.fetchKnowledge(m_address);
-        if (!knowledge)
-            return;
-        m_process.post([this, knowledge] {
-            if (importKnowledge(m_relay, *knowledge, m_events.now(), *this))
-                subscribeToAgents();
-        });
+        std::optional<std::uint64_t> digest;
+        if (hasRoutesAndTargets(m_relay))
+            digest = knowledgeDigest(m_relay, m_events.now());
+        m_process.post([this, answers = m_network.queryPeers(m_address, digest)] { adoptAnswers(answers); });
     });
 }
 
+void EmulatedEntry::adoptAnswers(const std::vector<RelayKnowledge> &answers)
+{
+    const auto targetsBefore = m_relay.directory.targets.size();
+    bool isAdopted = false;
+    for (const auto &answer : answers)
+        isAdopted = importKnowledge(m_relay, answer, m_events.now(), *this) || isAdopted;
+    if (isAdopted || m_relay.directory.targets.size() != targetsBefore)
+        subscribeToAgents();
+    finishPeerQueries(m_relay);
+    m_arePeersQueried = true;
+}
+
 void EmulatedEntry::sendToAgent(const Endpoint &agent, const RelayEnvelope &envelope)
 {
     const auto bytes = m_encoder.encode(envelope);
@@ -189,12 +200,12 @@
     if (now - m_tickedAt >= TickInterval) {
         m_tickedAt = now;
         onEntryTick(m_relay, now, *this);
-        queryPeers();
         if (now - m_subscribedAt >= SubscriptionInterval)
             subscribeToAgents();
     }
+    queryPeers();
     sendQueries(m_relay, now, *this);
-    if (hasRoutesAndTargets(m_relay) || now - m_relay.startedAt >= InitialReadTimeout)
+    if ((hasRoutesAndTargets(m_relay) && m_arePeersQueried) || now - m_relay.startedAt >= InitialReadTimeout)
         m_process.setReadingPackets(true);
 }
 
--- a/Libraries/LibEmulator/EmulatedEntry.h
+++ b/Libraries/LibEmulator/EmulatedEntry.h
@@ -28,7 +28,10 @@
     void receiveFromCaller(const EmulatedPacket &packet);
     void receiveFromAgent(const Endpoint &agent, std::vector<std::byte> datagram);
     /// Returns the routes and targets of this daemon, if it has read them.
-    [[nodiscard]] std::optional<RelayKnowledge> knowledge() const { return exportKnowledge(m_relay, m_events.now()); }
+    [[nodiscard]] std::optional<RelayKnowledge> answerPeer(const std::optional<std::uint64_t> &digest) const
+    {
+        return answerKnowledgeRequest(m_relay, digest, m_events.now());
+    }
 
     [[nodiscard]] EmulatedProcess &process() { return m_process; }
     [[nodiscard]] const Endpoint &address() const { return m_address; }
@@ -56,6 +59,7 @@
     void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
     void queryPeers();
+    void adoptAnswers(const std::vector<RelayKnowledge> &answers);
     void onIteration();
 
     EventQueue &m_events;
@@ -69,6 +73,8 @@
     RelayEncoder m_encoder;
     bool m_isStopping = false;
     bool m_hasQueriedPeers = false;
+    /// Whether the peers have answered, or had time to.
+    bool m_arePeersQueried = false;
     TimePoint m_tickedAt;
     TimePoint m_subscribedAt;
 };
--- a/Libraries/LibEmulator/EmulatedNetwork.h
+++ b/Libraries/LibEmulator/EmulatedNetwork.h
@@ -25,8 +25,9 @@
     virtual void recordTargetPacket(const Endpoint &agent, const PacketSummary &packet) = 0;
     /// Called when a flow opens at a target.
     virtual void recordOpened(const Endpoint &agent, const FlowKey &flow) = 0;
-    /// Returns the routes and targets of another entry daemon that is ready, or nothing.
-    virtual std::optional<RelayKnowledge> fetchKnowledge(const Endpoint &entry) = 0;
+    /// Returns the answers of other entry daemons that are ready to a daemon that has the routes and targets with this digest, or none:
+    /// up to three, or up to the first one from a daemon whose list is settled.
+    virtual std::vector<RelayKnowledge> queryPeers(const Endpoint &entry, const std::optional<std::uint64_t> &digest) = 0;
 };
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/RelaySimulation.cpp
+++ b/Libraries/LibEmulator/RelaySimulation.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint32_t FirstEntryAddress = 0x0a010001;
 constexpr std::uint32_t FirstTargetAddress = 0x0a020001;
 constexpr std::size_t MaximumTables = 3;
+constexpr std::size_t MaximumPeerAnswers = 3;
 
 } // namespace
 
@@ -175,13 +176,20 @@
     return text;
 }
 
-std::optional<RelayKnowledge> RelaySimulation::fetchKnowledge(const Endpoint &entry)
+std::vector<RelayKnowledge> RelaySimulation::queryPeers(const Endpoint &entry, const std::optional<std::uint64_t> &digest)
 {
+    std::vector<RelayKnowledge> answers;
     for (const auto &peer : m_entries) {
-        if (peer->address() != entry && peer->process().isRunning() && peer->knowledge())
-            return peer->knowledge();
+        if (peer->address() == entry || !peer->process().isRunning())
+            continue;
+        const auto answer = peer->answerPeer(digest);
+        if (!answer)
+            continue;
+        answers.push_back(*answer);
+        if (answer->isSettled || answers.size() == MaximumPeerAnswers)
+            break;
     }
-    return std::nullopt;
+    return answers;
 }
 
 void RelaySimulation::publishRoutes(std::vector<Route> routes)
--- a/Libraries/LibProtocol/KnowledgeCodec.cpp
+++ b/Libraries/LibProtocol/KnowledgeCodec.cpp
@@ -111,10 +111,21 @@
         targets.push_back(write(builder, target));
     const auto routeList = builder.CreateVector(routes);
     const auto targetList = builder.CreateVector(targets);
+    std::vector<flatbuffers::Offset<KnowledgeWire::Target>> withdrawn;
+    for (const auto &target : knowledge.withdrawnTargets)
+        withdrawn.push_back(write(builder, target));
+    const auto withdrawnList = builder.CreateVector(withdrawn);
     const auto idleTimeoutMs = static_cast<std::uint32_t>(knowledge.routes.idleTimeout.count());
     const auto &table = knowledge.routes;
-    builder.Finish(KnowledgeWire::CreateKnowledge(
-        builder, table.version, table.changeRevision.number, idleTimeoutMs, routeList, targetList, table.changeRevision.era));
+    builder.Finish(KnowledgeWire::CreateKnowledge(builder,
+                                                  table.version,
+                                                  table.changeRevision.number,
+                                                  idleTimeoutMs,
+                                                  routeList,
+                                                  targetList,
+                                                  table.changeRevision.era,
+                                                  knowledge.isSettled,
+                                                  withdrawnList));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -129,6 +140,7 @@
         return malformed;
     const auto *wire = flatbuffers::GetRoot<KnowledgeWire::Knowledge>(data);
     RelayKnowledge knowledge;
+    knowledge.isSettled = wire->is_settled();
     knowledge.routes.version = wire->version();
     knowledge.routes.changeRevision = {wire->change_era(), wire->change_revision()};
     knowledge.routes.idleTimeout = Duration(wire->idle_timeout_ms());
@@ -143,6 +155,10 @@
         for (const auto *item : *wire->targets())
             knowledge.targets.push_back(read(*item));
     }
+    if (wire->withdrawn() != nullptr) {
+        for (const auto *item : *wire->withdrawn())
+            knowledge.withdrawnTargets.push_back(read(*item));
+    }
     return knowledge;
 }
 
--- a/Libraries/LibProtocol/KnowledgeCodec.h
+++ b/Libraries/LibProtocol/KnowledgeCodec.h
@@ -7,6 +7,11 @@
 
 namespace Papaya {
 
+/// The HTTP path under which an entry daemon serves its routes and targets to peers, and the same with the digest of what the asking daemon
+/// has, a decimal number.
+inline constexpr std::string_view KnowledgePath = "/knowledge";
+inline constexpr std::string_view KnowledgeDigestQuery = "/knowledge?digest=";
+
 /// Maximum size of an encoded snapshot in bytes. decodeKnowledge() rejects larger input.
 inline constexpr std::size_t KnowledgeSizeLimit = std::size_t {4} * 1'024 * 1'024;
 
--- a/Libraries/LibTransport/DaemonMessages.h
+++ b/Libraries/LibTransport/DaemonMessages.h
@@ -8,6 +8,7 @@
 #include <caf/all.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 /// The messages between the tasks (CAF actors) of one daemon.
@@ -77,6 +78,8 @@
 
 /// Requests the routes and targets from the main task of a relaying entry daemon. The response is a KnowledgeReport.
 struct KnowledgeRequest {
+    /// The digest of the routes and targets that the asking daemon has; nothing if it has none.
+    std::optional<std::uint64_t> digest;
 };
 
 /// The routes and targets of a relaying entry daemon, as served at /knowledge.
--- a/Libraries/LibTransport/KnowledgeFetchTask.cpp
+++ b/Libraries/LibTransport/KnowledgeFetchTask.cpp
@@ -21,49 +21,55 @@
 KnowledgeFetchTask::KnowledgeFetchTask(caf::actor_config &config,
                                        std::vector<Endpoint> peers,
                                        const KnowledgeFetchLimits &limits,
+                                       const std::optional<std::uint64_t> &digest,
                                        caf::actor mainTask)
     : caf::blocking_actor(config)
     , m_peers(std::move(peers))
     , m_limits(limits)
+    , m_path(digest ? std::string(KnowledgeDigestQuery) + std::to_string(*digest) : std::string(KnowledgePath))
     , m_mainTask(std::move(mainTask))
 {
 }
 
 void KnowledgeFetchTask::act()
 {
-    if (fetchSnapshots() == 0)
+    if (queryPeers() == 0)
         EventLog("peers_uninformed", LogLevel::Warning).with("peers", m_peers.size());
     send(m_mainTask, PeersQueried {});
 }
 
-std::size_t KnowledgeFetchTask::fetchSnapshots()
+std::size_t KnowledgeFetchTask::queryPeers()
 {
-    std::size_t snapshots = 0;
-    for (int round = 0; round < m_limits.rounds && snapshots == 0; ++round) {
+    std::size_t answers = 0;
+    for (int round = 0; round < m_limits.rounds && answers == 0; ++round) {
         if (round > 0)
             std::this_thread::sleep_for(RoundInterval);
         for (const auto &peer : m_peers) {
-            snapshots += fetchKnowledge(peer) ? 1 : 0;
-            if (snapshots >= m_limits.snapshots)
-                break;
+            const auto knowledge = fetchKnowledge(peer);
+            if (!knowledge)
+                continue;
+            ++answers;
+            if (knowledge->isSettled || answers >= m_limits.answers)
+                return answers;
         }
     }
-    return snapshots;
+    return answers;
 }
 
-bool KnowledgeFetchTask::fetchKnowledge(const Endpoint &peer)
+std::shared_ptr<const RelayKnowledge> KnowledgeFetchTask::fetchKnowledge(const Endpoint &peer)
 {
     HttpClient client(peer);
-    const auto response = client.get("/knowledge", ConnectTimeout, ResponseTimeout);
+    const auto response = client.get(m_path, ConnectTimeout, ResponseTimeout);
     if (response.has_error() || response.value().status != StatusOk)
-        return false;
-    auto knowledge = decodeKnowledge(response.value().body);
-    if (knowledge.has_error()) {
-        EventLog("knowledge_unusable", LogLevel::Warning).with("peer", toString(peer)).with(knowledge.error());
-        return false;
+        return nullptr;
+    auto decoded = decodeKnowledge(response.value().body);
+    if (decoded.has_error()) {
+        EventLog("knowledge_unusable", LogLevel::Warning).with("peer", toString(peer)).with(decoded.error());
+        return nullptr;
     }
-    send(m_mainTask, PeerKnowledge {peer, std::make_shared<const RelayKnowledge>(std::move(knowledge.value()))});
-    return true;
+    auto knowledge = std::make_shared<const RelayKnowledge>(std::move(decoded.value()));
+    send(m_mainTask, PeerKnowledge {peer, knowledge});
+    return knowledge;
 }
 
 } // namespace Papaya
--- a/Libraries/LibTransport/KnowledgeFetchTask.h
+++ b/Libraries/LibTransport/KnowledgeFetchTask.h
@@ -5,6 +5,8 @@
 #include <caf/all.hpp>
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace Papaya {
@@ -19,10 +21,10 @@
 struct PeersQueried {
 };
 
-/// When a KnowledgeFetchTask ends.
+/// When a KnowledgeFetchTask ends, besides after the answer of a peer whose list is settled.
 struct KnowledgeFetchLimits {
-    /// After this many peers have returned their routes and targets.
-    std::size_t snapshots = 1;
+    /// After this many peers have answered.
+    std::size_t answers = 1;
     /// After this many rounds over all peers.
     int rounds = 1;
 };
@@ -32,18 +34,24 @@
 {
 public:
     /// `peers` are the addresses of the operators' HTTP servers of other entry daemons.
-    KnowledgeFetchTask(caf::actor_config &config, std::vector<Endpoint> peers, const KnowledgeFetchLimits &limits, caf::actor mainTask);
+    /// `digest` is that of the routes and targets that this daemon has, if it has any.
+    KnowledgeFetchTask(caf::actor_config &config,
+                       std::vector<Endpoint> peers,
+                       const KnowledgeFetchLimits &limits,
+                       const std::optional<std::uint64_t> &digest,
+                       caf::actor mainTask);
 
     void act() override;
 
 private:
-    /// Queries the peers until a limit is reached. Returns the number of snapshots fetched.
-    [[nodiscard]] std::size_t fetchSnapshots();
-    /// Fetches the routes and targets from one peer and sends them to the main task. Returns whether that succeeded.
-    [[nodiscard]] bool fetchKnowledge(const Endpoint &peer);
+    /// Queries the peers until a limit is reached or one with a settled list has answered. Returns the number of answers.
+    [[nodiscard]] std::size_t queryPeers();
+    /// Fetches the routes and targets from one peer and sends them to the main task. Returns nothing if that failed.
+    [[nodiscard]] std::shared_ptr<const RelayKnowledge> fetchKnowledge(const Endpoint &peer);
 
     std::vector<Endpoint> m_peers;
     KnowledgeFetchLimits m_limits;
+    std::string m_path;
     caf::actor m_mainTask;
 };
 
--- a/Libraries/LibTransport/OperatorHttpTask.cpp
+++ b/Libraries/LibTransport/OperatorHttpTask.cpp
@@ -1,5 +1,6 @@
 #include "LibTransport/OperatorHttpTask.h"
 
+#include "LibProtocol/KnowledgeCodec.h"
 #include "LibTransport/EventLog.h"
 
 #include <boost/asio/io_context.hpp>
@@ -63,9 +64,22 @@
     return makeResponse(readiness, status->isReady ? "ready\n" : "not ready\n", "text/plain");
 }
 
-Response handleKnowledgeRequest(caf::actor_system &system, const caf::actor &task)
+/// Returns the digest in a query such as /knowledge?digest=12, or nothing if there is no valid one.
+std::optional<std::uint64_t> digestOf(std::string_view requestTarget)
 {
-    auto report = requestFrom<KnowledgeReport>(system, task, KnowledgeRequest {});
+    if (!requestTarget.starts_with(KnowledgeDigestQuery))
+        return std::nullopt;
+    const auto text = requestTarget.substr(KnowledgeDigestQuery.size());
+    std::uint64_t digest = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), digest);
+    if (error != std::errc {} || end != text.data() + text.size())
+        return std::nullopt;
+    return digest;
+}
+
+Response handleKnowledgeRequest(caf::actor_system &system, const caf::actor &task, std::string_view requestTarget)
+{
+    auto report = requestFrom<KnowledgeReport>(system, task, KnowledgeRequest {digestOf(requestTarget)});
     if (!report || report->bytes.empty())
         return makeResponse(http::status::service_unavailable, "nothing known\n", "text/plain");
     return makeResponse(http::status::ok, std::move(report->bytes), "application/octet-stream");
@@ -90,8 +104,8 @@
 {
     if (requestTarget == "/healthz" || requestTarget == "/readyz" || requestTarget == "/metrics" || requestTarget == "/status")
         return handleStatusRequest(system, task, requestTarget);
-    if (requestTarget == "/knowledge")
-        return handleKnowledgeRequest(system, task);
+    if (requestTarget == KnowledgePath || requestTarget.starts_with(KnowledgeDigestQuery))
+        return handleKnowledgeRequest(system, task, requestTarget);
     if (!requestTarget.starts_with(ExplainQuery))
         return makeResponse(http::status::not_found, "unknown path\n", "text/plain");
     const auto report = requestFrom<ExplainReport>(system, task, ExplainRequest {decodeQuery(requestTarget.substr(ExplainQuery.size()))});
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -4,6 +4,7 @@
 #include "LibProtocol/KnowledgeCodec.h"
 #include "LibTransport/ExplainFlow.h"
 #include "LibTransport/MonotonicClock.h"
+#include "LibTransport/WallClock.h"
 #include "platform/PacketCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -28,6 +29,8 @@
 constexpr Duration InitialReadTimeout {180};
 /// The peers queried at the start. More than one, since a peer may have started shortly before as well.
 constexpr KnowledgeFetchLimits StartFetch {3, 1};
+/// A daemon that has just started and read the platform waits this long for its peers' answers before it reads callers' packets.
+constexpr Duration PeerAnswerTime {60};
 /// The peers queried while the platform cannot be read. After that, only the platform can provide the routes and targets.
 constexpr KnowledgeFetchLimits OutageFetch {1, 60};
 /// How often the subscriptions to the agents' load reports are renewed.
@@ -100,7 +103,7 @@
 void RelayEntryTask::act()
 {
     m_relay.startedAt = currentTime();
-    queryPeers(StartFetch);
+    m_relay.startIncarnation = wallClockTime();
     m_poll.addReader(m_daemonSocket.descriptor(), DaemonToken);
     while (!m_isStopped) {
         const auto startedAt = currentTime();
@@ -145,36 +148,47 @@
 
 void RelayEntryTask::startReadingCallers()
 {
-    const bool isInformed = hasRoutesAndTargets(m_relay) && !m_isQueryingPeers;
+    queryPeersAtStart();
+    const bool arePeersWaitedFor = m_isQueryingPeers && currentTime() - m_peersQueriedAt < PeerAnswerTime;
+    const bool isInformed = hasRoutesAndTargets(m_relay) && !arePeersWaitedFor;
     if (m_isReadingCallers || (!isInformed && currentTime() - m_relay.startedAt < InitialReadTimeout))
         return;
     m_isReadingCallers = true;
     m_poll.addReader(m_callerSocket.descriptor(), CallersToken);
 }
 
-void RelayEntryTask::queryPeersIfUninformed()
+void RelayEntryTask::queryPeersAtStart()
 {
-    if (m_hasQueriedPeersAgain || hasRoutesAndTargets(m_relay) || currentTime() - m_relay.startedAt < InitialReadTimeout)
+    if (m_hasQueriedPeers)
         return;
-    m_hasQueriedPeersAgain = true;
-    queryPeers(OutageFetch);
+    if (hasRoutesAndTargets(m_relay))
+        queryPeers(StartFetch);
+    else if (!m_relay.hasTargetList && currentTime() - m_relay.startedAt >= InitialReadTimeout)
+        queryPeers(OutageFetch);
 }
 
 void RelayEntryTask::queryPeers(const KnowledgeFetchLimits &limits)
 {
+    m_hasQueriedPeers = true;
     std::vector<Endpoint> peers;
     for (const auto &peer : m_settings.peers) {
         if (peer.address != m_settings.operators.address)
             peers.push_back({peer.address, m_settings.operators.port});
     }
-    if (peers.empty())
+    if (peers.empty()) {
+        finishPeerQueries(m_relay);
         return;
+    }
     // Daemons begin with different peers, so that the queries are spread over the peers.
     const auto first = static_cast<std::ptrdiff_t>(hashOf(m_settings.name) % peers.size());
     std::rotate(peers.begin(), peers.begin() + first, peers.end());
     EventLog("peers_asked").with("peers", peers.size());
     m_isQueryingPeers = true;
-    system().spawn<KnowledgeFetchTask, caf::detached>(std::move(peers), limits, caf::actor_cast<caf::actor>(this));
+    m_peersQueriedAt = currentTime();
+    std::optional<std::uint64_t> digest;
+    if (hasRoutesAndTargets(m_relay))
+        digest = knowledgeDigest(m_relay, currentTime());
+    system().spawn<KnowledgeFetchTask, caf::detached>(std::move(peers), limits, digest, caf::actor_cast<caf::actor>(this));
 }
 
 void RelayEntryTask::adoptPeerKnowledge(const PeerKnowledge &peerKnowledge)
@@ -185,6 +199,7 @@
         .with("peer", toString(peerKnowledge.peer))
         .with("version", peerKnowledge.knowledge->routes.version)
         .with("targets", peerKnowledge.knowledge->targets.size())
+        .with("settled", peerKnowledge.knowledge->isSettled ? "true" : "false")
         .with("outcome", isAdopted ? "taken" : "not_needed");
     if (isAdopted || m_relay.directory.targets.size() != targetsBefore)
         subscribeToAgents();
@@ -208,9 +223,12 @@
                 [&](const TargetWithdrawn &withdrawn) { withdrawTarget(withdrawn.target, withdrawn.grace); },
                 [&](const RelaySettingsChanged &) { EventLog("settings_changed").with("applied", "at_next_start"); },
                 [&](const PeerKnowledge &peerKnowledge) { adoptPeerKnowledge(peerKnowledge); },
-                [&](PeersQueried) { m_isQueryingPeers = false; },
-                [&](KnowledgeRequest) {
-                    const auto knowledge = exportKnowledge(m_relay, currentTime());
+                [&](PeersQueried) {
+                    m_isQueryingPeers = false;
+                    finishPeerQueries(m_relay);
+                },
+                [&](const KnowledgeRequest &request) {
+                    const auto knowledge = answerKnowledgeRequest(m_relay, request.digest, currentTime());
                     return KnowledgeReport {knowledge ? encodeKnowledge(*knowledge) : std::string {}};
                 },
                 [&](StatusRequest) { return report(); },
@@ -373,7 +391,6 @@
 {
     const auto now = currentTime();
     onEntryTick(m_relay, now, *this);
-    queryPeersIfUninformed();
     if (now - m_subscribedAt >= SubscriptionInterval)
         subscribeToAgents();
     if (const auto suppressed = m_routineLogLimiter.takeSuppressed() + m_failureLogLimiter.takeSuppressed(); suppressed > 0)
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -44,13 +44,14 @@
     void applyTargetList(const TargetsListed &listed);
     void applyPublishedTarget(const PublishedTarget &target);
     void withdrawTarget(MemberId target, Duration grace);
-    /// Starts reading callers' packets once routes and targets have been read and the peers were queried, or InitialReadTimeout after
-    /// the start.
+    /// Starts reading callers' packets once routes and targets have been read and the peers have answered or had time to, or
+    /// InitialReadTimeout after the start.
     void startReadingCallers();
     /// Requests routes and targets from other entry daemons. Those of the platform may be older if it was restored from a copy.
     void queryPeers(const KnowledgeFetchLimits &limits);
-    /// Queries the peers again, once, if routes and targets have not been read within InitialReadTimeout after the start.
-    void queryPeersIfUninformed();
+    /// Queries the peers, once: after routes and targets have been read from the platform, whose answers may be older than what peers
+    /// have, or if the platform has not answered within InitialReadTimeout after the start.
+    void queryPeersAtStart();
     void adoptPeerKnowledge(const PeerKnowledge &peerKnowledge);
     void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
@@ -78,7 +79,8 @@
     bool m_isReadingCallers = false;
     /// Whether a KnowledgeFetchTask is querying the peers.
     bool m_isQueryingPeers = false;
-    bool m_hasQueriedPeersAgain = false;
+    bool m_hasQueriedPeers = false;
+    TimePoint m_peersQueriedAt;
     TimePoint m_subscribedAt;
     std::optional<TimePoint> m_stopAt;
     bool m_isStopped = false;
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -394,6 +394,7 @@
     m_entry.routes.routes[ServiceAddress].isIdempotent = true;
     publish(makeTarget(1));
     publish(makeTarget(2));
+    onReport(m_entry, agentOf(2), {hashOf("ledger"), {}}, at(1'500), m_output);
     receive(makeData(501), 2'000);
     notify(1, NoticeKind::Denied, 2'002);
     tickUntil(2'100, 3'800);
@@ -430,6 +431,62 @@
     EXPECT_EQ(m_output.resets.back(), 777U);
 }
 
+// Failure: a daemon that started after an agent had announced its restart takes the agent for unreachable, although its target serves.
+TEST_F(EntrySearchTest, AgentThatWasNeverHeardIsWaitedForLonger)
+{
+    m_entry.routes.routes[ServiceAddress].isIdempotent = true;
+    publish(makeTarget(1));
+    publish(makeTarget(2));
+    receive(makeData(501), 2'000);
+    notify(1, NoticeKind::Denied, 2'002);
+    tickUntil(2'100, 4'400);
+    EXPECT_TRUE(m_output.resets.empty());
+    tickUntil(4'500, 4'700);
+    EXPECT_EQ(m_output.resets.size(), 1U);
+}
+
+// Failure: after a loss of power of the whole system its callers are told only 2.5 s after the start that their flows are lost.
+TEST_F(EntrySearchTest, DeniedFlowIsResetAtOnceIfAllTargetsHaveJustStarted)
+{
+    constexpr Incarnation StartTime = 1'000'000;
+    for (const bool isOneTargetOld : {false, true}) {
+        m_entry = EntryRelay {};
+        SetUp();
+        m_output = Recorder {};
+        m_entry.firstTargetListAsOf = Start;
+        m_entry.startIncarnation = StartTime;
+        for (std::uint32_t number = 1; number <= 3; ++number) {
+            auto target = makeTarget(number);
+            target.incarnation = isOneTargetOld && number == 3 ? StartTime - 20'000 : StartTime - 500 + 300 * number;
+            publish(target);
+        }
+        receive(makeData(501), 200);
+        for (std::uint32_t number = 1; number <= 3; ++number)
+            answer(agentOf(number), FlowVerdict::Denied, 203);
+        tickUntil(300, 400);
+        EXPECT_EQ(m_output.resets.size(), isOneTargetOld ? 0U : 1U);
+        tickUntil(500, 2'800);
+        EXPECT_EQ(m_output.resets.size(), 1U);
+    }
+}
+
+// Failure: the same while few agents have been heard, since their VMs start later than this one.
+TEST_F(EntrySearchTest, DeniedFlowIsNotResetBeforeMostAgentsAreHeard)
+{
+    constexpr Incarnation StartTime = 1'000'000;
+    m_entry.firstTargetListAsOf = Start;
+    m_entry.startIncarnation = StartTime;
+    for (std::uint32_t number = 1; number <= 3; ++number) {
+        auto target = makeTarget(number);
+        target.incarnation = StartTime;
+        publish(target);
+    }
+    answer(agentOf(1), FlowVerdict::Denied, 100);
+    EXPECT_TRUE(mayListLackTargets(m_entry, at(150)));
+    answer(agentOf(2), FlowVerdict::Denied, 200);
+    EXPECT_FALSE(mayListLackTargets(m_entry, at(250)));
+}
+
 // Failure: the log line of the reset does not name the agent that did not answer.
 TEST_F(EntrySearchTest, ResetOfSearchNamesUnreachableAgent)
 {
@@ -467,6 +524,7 @@
     auto draining = makeTarget(2);
     draining.isDraining = true;
     publish(draining);
+    onReport(m_entry, agentOf(2), {hashOf("ledger"), {}}, at(1'500), m_output);
     receive(makeData(501), 2'000);
     notify(1, NoticeKind::Denied, 2'002);
     (void)applyWithdrawn(m_entry.directory, draining.id, at(2'210));
@@ -551,8 +609,8 @@
     publish(makeTarget(2, "catalogue"));
     auto plan = planSearch(m_entry, Flow, at(1'000));
     ASSERT_EQ(plan.agents.size(), 2U);
-    EXPECT_TRUE(plan.agents[0].mayReceivePackets);
-    EXPECT_FALSE(plan.agents[1].mayReceivePackets);
+    EXPECT_TRUE(plan.agents[0].isRelated);
+    EXPECT_FALSE(plan.agents[1].isRelated);
     // A target that was listed after the current routes were written cannot hold flows of earlier routes.
     auto later = makeTarget(3, "catalogue");
     later.listingRevision.number = 11;
@@ -607,7 +665,7 @@
     ASSERT_TRUE(setRoutes(m_entry, routes, at(0)));
     const auto plan = planSearch(m_entry, Flow, at(70'000));
     EXPECT_EQ(plan.agents.size(), 2U);
-    EXPECT_TRUE(plan.agents[1].mayReceivePackets);
+    EXPECT_TRUE(plan.agents[1].isRelated);
 }
 
 } // namespace
--- a/Tests/LibCoordination/TestRelayKnowledge.cpp
+++ b/Tests/LibCoordination/TestRelayKnowledge.cpp
@@ -1,3 +1,4 @@
+#include "LibCoordination/EntrySearch.h"
 #include "LibCoordination/RelayKnowledge.h"
 
 #include <gtest/gtest.h>
@@ -169,6 +170,69 @@
     EXPECT_TRUE(exportKnowledge(m_initialized, Start + Duration(2'500))->targets.empty());
 }
 
+/// A daemon that has read routes and targets from the platform, and when.
+EntryRelay makeInformed(TimePoint listedAt, EntryOutput &output)
+{
+    EntryRelay entry;
+    (void)setRoutes(entry, makeRoutes(5), listedAt);
+    (void)onTargetPublished(entry, makeTarget(1), listedAt, output);
+    markTargetsListed(entry, listedAt);
+    markTargetsCurrent(entry, listedAt);
+    return entry;
+}
+
+// Failure: while all daemons start, each one fetches all routes and targets from the same few peers, although it has read the same.
+TEST_F(RelayKnowledgeTest, AnswerIsSmallWhenAskingDaemonHasTheSame)
+{
+    auto settled = makeInformed(Start, m_output);
+    markTargetsCurrent(settled, Start + Duration(10'000));
+    const auto asking = makeInformed(Start + Duration(10'000), m_output);
+    const auto digest = knowledgeDigest(asking, Start + Duration(10'000));
+    auto answer = answerKnowledgeRequest(settled, digest, Start + Duration(10'000));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_TRUE(answer->isSettled);
+    EXPECT_TRUE(answer->targets.empty());
+    EXPECT_TRUE(answer->routes.routes.empty());
+
+    (void)onTargetPublished(settled, makeTarget(3), Start + Duration(10'000), m_output);
+    answer = answerKnowledgeRequest(settled, digest, Start + Duration(10'000));
+    EXPECT_EQ(answer->targets.size(), 2U);
+    // A daemon that has not read the platform needs everything.
+    EXPECT_EQ(answerKnowledgeRequest(settled, std::nullopt, Start + Duration(10'000))->targets.size(), 2U);
+}
+
+TEST_F(RelayKnowledgeTest, DaemonThatHasJustStartedSendsNoTargetsToOneThatHasReadThePlatform)
+{
+    const auto answer = answerKnowledgeRequest(makeInformed(Start, m_output), 1, Start + Duration(500));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_FALSE(answer->isSettled);
+    EXPECT_TRUE(answer->targets.empty());
+}
+
+TEST_F(RelayKnowledgeTest, SettledPeerEndsTheWaitForExpiredEntries)
+{
+    auto entry = makeInformed(Start, m_output);
+    EXPECT_TRUE(mayListLackTargets(entry, Start + Duration(100)));
+    RelayKnowledge answer;
+    (void)importKnowledge(entry, answer, Start + Duration(100), m_output);
+    EXPECT_TRUE(mayListLackTargets(entry, Start + Duration(100)));
+    answer.isSettled = true;
+    (void)importKnowledge(entry, answer, Start + Duration(100), m_output);
+    EXPECT_FALSE(mayListLackTargets(entry, Start + Duration(100)));
+}
+
+// Failure: a target whose entry expired in an outage, and was not read again before the next one, is missing from a settled peer's
+// snapshot, and the flows that it holds are reset by the daemon that relies on the snapshot.
+TEST_F(RelayKnowledgeTest, WithdrawnTargetsAreSearchedButGetNoNewFlows)
+{
+    const auto now = Start + Duration(1'500);
+    const auto knowledge = exportKnowledge(m_initialized, now);
+    ASSERT_EQ(knowledge->withdrawnTargets.size(), 1U);
+    ASSERT_TRUE(importKnowledge(m_uninitialized, *knowledge, now, m_output));
+    ASSERT_TRUE(m_uninitialized.directory.targets.contains(2));
+    EXPECT_FALSE(mayTakeNewFlows(m_uninitialized.directory.targets.at(2), now));
+}
+
 } // namespace
 
 } // namespace Papaya
