platform: Skip odd entries without cost to the others

Cause: an entry whose value is nested a million levels deep parsed, took 29 MB for one value of 1 MB (entry VMs have 60 MB) and named a target; an item without a valid key, revision or base64 value made the whole response unreadable, so the daemon read it again for ever and followed the platform no longer; so did a key that is no UTF-8. An entry without a start (born) replaced the target that runs on the VM of its address, and one with a start in the far future made every later run look older.

Evidence: MalformedItemDoesNotHideOthers, RejectsDeepNestingBeforeParsing, RejectsOddTargets (start in the far future), EntryWithoutStartDoesNotReplaceTargetOnSameVm fail on the code before. RejectsIncompleteStoreResponses no longer demands that one malformed item fails the response; MalformedItemDoesNotHideOthers demands for more such items that the others are read. OddEntriesNameNoTargetAndHideNone plays them against the store stand-in.

--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -44,7 +44,8 @@
         return false;
     const auto &known = record->second;
     const bool isWithdrawn = known.withdrawnAt && (*known.withdrawnAt <= now || isLaterInSameEra(next.revision, known.published.revision));
-    return !isWithdrawn && next.incarnation != 0 && known.published.incarnation > next.incarnation;
+    // An entry without a start of the target is another writer's, or an older one.
+    return !isWithdrawn && known.published.incarnation > next.incarnation;
 }
 
 /// Returns whether a publication is older than another one of the same target. Later revisions of one era are newer. The platform may
--- a/Tests/LibCoordination/TestOutdatedPublications.cpp
+++ b/Tests/LibCoordination/TestOutdatedPublications.cpp
@@ -53,6 +53,15 @@
     EXPECT_FALSE(mayTakeNewFlows(record(1), at(2'000)));
 }
 
+// Guards against the loss of a target because of another writer's entry with the same address, which does not say when its target started.
+TEST_F(OutdatedPublications, EntryWithoutStartDoesNotReplaceTargetOnSameVm)
+{
+    publish(makeTarget(1, 1'000, 3), {Era, 50}, 0);
+    EXPECT_EQ(publish(makeTarget(2, 0, 1), {Era, 60}, 1'000), PublicationEffect::Unchanged);
+    EXPECT_TRUE(mayTakeNewFlows(record(1), at(1'000)));
+    EXPECT_EQ(m_directory.targets.size(), 1U);
+}
+
 // Guards against a target that counts as replaced, with all its flows lost, because the restored store lists its previous run.
 TEST_F(OutdatedPublications, PreviousRunDoesNotReplaceTargetInNextEra)
 {
--- a/Tests/Platform/TestStoreReader.cpp
+++ b/Tests/Platform/TestStoreReader.cpp
@@ -1,5 +1,7 @@
 #include "platform/StoreReader.h"
 
+#include "platform/StoreValueParser.h"
+
 #include "RelayDeployment/StoreStandIn.h"
 
 #include "LibTransport/MonotonicClock.h"
@@ -92,6 +94,8 @@
                 m_targets.insert(target.name);
         } else if (const auto *published = std::get_if<TargetPublished>(&update))
             m_targets.insert(published->target.name);
+        else if (const auto *withdrawn = std::get_if<TargetWithdrawn>(&update))
+            std::erase_if(m_targets, [&](const std::string &name) { return targetIdOf("servers/" + name) == withdrawn->target; });
     }
 
     /// Marks the current contents of the store as the copy from which restore() restores it.
@@ -219,6 +223,35 @@
     }
 }
 
+// Guards against a reader that stops following the store because of one entry of another writer, in a list and in a batch of changes.
+TEST_F(StoreReaderTest, OddEntriesNameNoTargetAndHideNone)
+{
+    const std::string odd[] = {"",
+                               "{",
+                               std::string(100'000, '['),
+                               std::string(100'000, '9'),
+                               "\xff\xfe",
+                               R"({"Service":"ledger","Address":"10.1.0.9:65536","Zone":"a","Slots":5,"State":"ready","ColdLeftMs":0})"};
+    std::uint32_t number = 100;
+    for (const auto &value : odd)
+        m_store.put(targetKey(number++), value);
+    readUntilCurrent();
+    EXPECT_EQ(m_targets, std::set<std::string> {"i-1"});
+    for (const auto &value : odd) {
+        m_store.put(targetKey(number++), value);
+        m_store.put(targetKey(number), targetText(1 + number % 100));
+        readUntilCurrent();
+        EXPECT_TRUE(m_targets.contains("i-" + std::to_string(number)));
+    }
+    // An odd entry replaces a valid one, and is taken back.
+    m_store.put(targetKey(1), odd[2]);
+    readUntilCurrent();
+    EXPECT_FALSE(m_targets.contains("i-1"));
+    m_store.put(targetKey(1), targetText(1));
+    readUntilCurrent();
+    EXPECT_TRUE(m_targets.contains("i-1"));
+}
+
 // Guards against a watch that returns changes only at its end.
 TEST_F(StoreReaderTest, WaitingWatchReportsChange)
 {
--- a/Tests/Platform/TestStoreValueParser.cpp
+++ b/Tests/Platform/TestStoreValueParser.cpp
@@ -108,16 +108,88 @@
 
 TEST(StoreValueParser, RejectsIncompleteStoreResponses)
 {
-    for (const auto *body : {"",
-                             "{}",
-                             R"({"events":[]})",
-                             R"({"events":{},"StoreRevision":1})",
-                             R"({"events":[{}],"StoreRevision":1})",
-                             R"({"events":[{"Key":"a","Value":"***","Revision":1}],"StoreRevision":1})",
-                             R"({"events":[{"Key":"a","Revision":1}],"StoreRevision":1})"})
+    for (const auto *body : {"", "{}", R"({"events":[]})", R"({"events":{},"StoreRevision":1})"})
         EXPECT_TRUE(parseStoreResponse(body, "events").has_error()) << body;
 }
 
+// Failure: one item of another writer makes every response that has it unreadable, and the daemon follows the platform no longer.
+TEST(StoreValueParser, MalformedItemDoesNotHideOthers)
+{
+    const std::string valid = R"({"Key":"b","Value":"bm9kZS0x","Revision":2})";
+    for (const auto *item : {R"({})",
+                             R"(7)",
+                             R"([[[]]])",
+                             R"({"Key":7,"Value":"bm9kZS0x","Revision":1})",
+                             R"({"Key":"a","Value":"bm9kZS0x"})",
+                             R"({"Key":"a","Value":"bm9kZS0x","Revision":-1})",
+                             R"({"Key":"a","Value":"bm9kZS0x","Revision":18446744073709551616})"}) {
+        const auto response = parseStoreResponse(R"({"events":[)" + std::string(item) + "," + valid + R"(],"StoreRevision":2})", "events");
+        ASSERT_TRUE(response.has_value()) << item;
+        ASSERT_EQ(response.value().items.size(), 1U) << item;
+        EXPECT_EQ(response.value().items.front().key, "b");
+        EXPECT_EQ(response.value().malformedItems, 1U);
+    }
+    // An item with a key and without a readable value is kept, since it replaces an earlier value.
+    for (const auto *item : {R"({"Key":"a","Value":"***","Revision":1})",
+                             R"({"Key":"a","Value":"bm9kZS0","Revision":1})",
+                             R"({"Key":"a","Value":7,"Revision":1})",
+                             R"({"Key":"a","Revision":1})"}) {
+        const auto response = parseStoreResponse(R"({"events":[)" + std::string(item) + "," + valid + R"(],"StoreRevision":2})", "events");
+        ASSERT_TRUE(response.has_value()) << item;
+        ASSERT_EQ(response.value().items.size(), 2U) << item;
+        EXPECT_TRUE(parseTarget("servers/a", response.value().items.front().value, AgentPort).has_error()) << item;
+    }
+    const auto withInvalidKey =
+        parseStoreResponse("{\"events\":[{\"Key\":\"\xff\xfe\",\"Revision\":1}," + valid + "],\"StoreRevision\":2}", "events");
+    ASSERT_TRUE(withInvalidKey.has_value());
+    EXPECT_EQ(withInvalidKey.value().items.back().key, "b");
+}
+
+std::string makeTargetText(const std::string &address, const std::string &slots, const std::string &born)
+{
+    return R"({"Service":"ledger","Address":")" + address + R"(","Zone":"a","Slots":)" + slots
+           + R"(,"State":"ready","ColdLeftMs":0,"Sequence":1,"born":)" + born + "}";
+}
+
+// Failure: an entry of another writer ends the process, or takes more memory than the VM has.
+TEST(StoreValueParser, RejectsOddTargets)
+{
+    const std::string digits(400, '9');
+    EXPECT_TRUE(parseTarget(TargetKey, makeTargetText("10.1.0.1:80", "5", "1"), AgentPort).has_value());
+    for (const auto *address :
+         {"10.1.0.1:65536", "10.1.0.1:-1", "10.1.0.1:0", "10.1.0.1:", "10.1.0.1:99999999999999999999", "10.1.0.256:80"})
+        EXPECT_TRUE(parseTarget(TargetKey, makeTargetText(address, "5", "1"), AgentPort).has_error()) << address;
+    for (const auto &number :
+         {digits, "-" + digits, digits + "." + digits, "1e" + digits, std::string("18446744073709551616"), std::string("5.5")}) {
+        EXPECT_TRUE(parseTarget(TargetKey, makeTargetText("10.1.0.1:80", number, "1"), AgentPort).has_error()) << number;
+        EXPECT_TRUE(parseTarget(TargetKey, makeTargetText("10.1.0.1:80", "5", number), AgentPort).has_error()) << number;
+    }
+    // A start in the far future would make the next run of the VM's target look older.
+    EXPECT_TRUE(parseTarget(TargetKey, makeTargetText("10.1.0.1:80", "5", "18446744073709551615"), AgentPort).has_error());
+    EXPECT_TRUE(parseTarget(TargetKey, "\xff\xfe{}", AgentPort).has_error());
+}
+
+TEST(StoreValueParser, RejectsDeepNestingBeforeParsing)
+{
+    constexpr std::size_t Levels = 1'000'000;
+    for (const auto *opening : {"[", "{\"a\":"}) {
+        std::string nested;
+        for (std::size_t level = 0; level < Levels; ++level)
+            nested += opening;
+        EXPECT_TRUE(parseTarget(TargetKey, nested, AgentPort).has_error());
+        EXPECT_TRUE(parseTarget(TargetKey, R"({"Service":)" + nested, AgentPort).has_error());
+        EXPECT_TRUE(parseRouteTable(R"({"Version":1,"Routes":)" + nested).has_error());
+    }
+    // Complete, and valid but for a member that no reader needs.
+    const auto member = std::string(Levels, '[') + std::string(Levels, ']');
+    EXPECT_TRUE(
+        parseTarget(TargetKey, R"({"Extra":)" + member + "," + makeTargetText("10.1.0.1:80", "5", "1").substr(1), AgentPort).has_error());
+    // Brackets inside a string are no nesting.
+    const auto text = makeTargetText("10.1.0.1:80", "5", "1");
+    const auto withName = R"({"Name":"\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",)" + text.substr(1);
+    EXPECT_TRUE(parseTarget(TargetKey, withName, AgentPort).has_value());
+}
+
 /// Overwrites random bytes of a valid text and sometimes truncates it.
 std::string mutate(std::string text, std::mt19937_64 &random)
 {
