EntrySearch: Read a list as new as the search after a start

Cause: a target that replaces another one of its service at the same address gets flows at once, since all daemons know the address. The wait of 2.5 s, which a settled peer ends now, had covered that.

Change: for 65 s after its start a daemon resets a flow that nobody holds only on a list as new as the search.

Evidence: DaemonThatHasJustStartedNeedsListAsNewAsSearch fails on the code before.

--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -99,9 +99,11 @@
 
 /// Returns the time up to which the list of targets has to be complete before a flow that every agent denied is reset. New
 /// flows go only to targets that have been listed for at least `propagationTime`, unless most of the service's targets are
-/// newer.
+/// newer, or another target of the service had the same address before. A daemon that has just started does not know former addresses.
 TimePoint requiredTargetListTime(const EntryRelay &entry, const FlowKey &key, const EntryFlow &flow)
 {
+    if (flow.searchStartedAt - entry.startedAt < entry.directory.limits.withdrawnTargetRetention)
+        return flow.searchStartedAt;
     const auto route = entry.routes.routes.find(key.service);
     if (route == entry.routes.routes.end())
         return flow.searchStartedAt;
--- a/Libraries/LibEmulator/RandomDisruptions.cpp
+++ b/Libraries/LibEmulator/RandomDisruptions.cpp
@@ -12,6 +12,9 @@
 /// Maximum time of an iteration of a slow daemon, below the threshold at which an entry daemon detects a pause.
 constexpr Duration::rep MaximumIterationTime = 300;
 constexpr std::size_t DefaultBatchSize = 64;
+/// Multiplier of a simulation's seed in the seeds of the kinds. It stays the same when kinds are added, so that earlier seeds schedule what
+/// they did.
+constexpr std::uint64_t SeedStride = 15;
 
 } // namespace
 
@@ -30,7 +33,7 @@
 {
     for (const auto kind : m_kinds) {
         // Each kind has random numbers of its own, so that a failure can be reproduced with fewer kinds.
-        m_random.seed(m_seed * DisruptionKindCount + static_cast<std::uint64_t>(kind));
+        m_random.seed(m_seed * SeedStride + static_cast<std::uint64_t>(kind));
         if (!chance(0.4))
             continue;
         const auto count = std::uniform_int_distribution<int>(1, 3)(m_random);
@@ -71,6 +74,8 @@
         return crashTargets(at);
     case DisruptionKind::BurstOfRequests:
         return burst(at);
+    case DisruptionKind::LosePower:
+        return losePower(at);
     }
 }
 
@@ -283,4 +288,27 @@
     m_simulation.schedule(at + between(500, 4'000), [this] { m_simulation.callers().setLoadFactor(1); });
 }
 
+void RandomDisruptions::losePower(Duration at)
+{
+    constexpr Duration::rep MaximumStartSpread = 800;
+    const auto startsAt = at + between(600, 1'200);
+    m_simulation.schedule(at, [this] { m_simulation.recordEventForAll("power", "lost"); });
+    for (std::size_t entry = 0; entry < m_simulation.entryCount(); ++entry) {
+        m_simulation.schedule(at, [this, entry] { m_simulation.killEntry(entry); });
+        m_simulation.schedule(startsAt + between(0, MaximumStartSpread), [this, entry] { m_simulation.startEntry(entry); });
+    }
+    for (std::size_t index = 0; index < m_simulation.targetCount(); ++index) {
+        m_simulation.schedule(at, [this, index] {
+            m_simulation.killAgent(index);
+            if (m_simulation.target(index).isUp())
+                m_simulation.crashTarget(index);
+        });
+        m_simulation.schedule(startsAt + between(0, MaximumStartSpread), [this, index] {
+            m_simulation.startAgent(index);
+            if (!m_simulation.target(index).isUp())
+                m_simulation.restartTarget(index);
+        });
+    }
+}
+
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/RandomDisruptions.h
+++ b/Libraries/LibEmulator/RandomDisruptions.h
@@ -35,9 +35,11 @@
     LoseDatagrams,
     CrashTargets,
     BurstOfRequests,
+    /// All daemons and targets end at once and start again up to two seconds later, each at its own time.
+    LosePower,
 };
 
-inline constexpr std::size_t DisruptionKindCount = 15;
+inline constexpr std::size_t DisruptionKindCount = 16;
 
 /// Schedules a random selection of overlapping disruptions and planned work on a simulation. The selection depends only on the
 /// seed and on the kinds that are allowed.
@@ -67,6 +69,7 @@
     void loseDatagrams(Duration at);
     void crashTargets(Duration at);
     void burst(Duration at);
+    void losePower(Duration at);
     [[nodiscard]] Duration between(Duration::rep minimum, Duration::rep maximum);
     [[nodiscard]] bool chance(double probability);
     /// Returns between `minimum` and `maximum` as share of `count` indices, in random order.
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -16,6 +16,8 @@
 inline constexpr FlowKey Flow {CallerAddress, ServiceAddress};
 inline constexpr std::uint16_t AgentPort = 7'720;
 inline constexpr TimePoint Start {Duration(100'000)};
+/// A start of the daemon after which every flow that was open then has ended.
+inline constexpr TimePoint LongAgo = Start - Duration(70'000);
 inline const std::vector<std::byte> Packet(100);
 
 inline TimePoint at(int milliseconds)
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -120,6 +120,7 @@
 
 TEST_F(EntryRelayTest, ConfirmedFlowIsResetWhenTargetReturnsPacket)
 {
+    m_entry.startedAt = LongAgo;
     publish(makeTarget(1));
     receive(makeSyn(), 2'000);
     notify(1, NoticeKind::Accepted, 2'002, {}, 500);
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -366,6 +366,7 @@
 
 TEST_F(EntrySearchTest, SearchesForManyLostFlowsShareQueries)
 {
+    m_entry.startedAt = LongAgo;
     constexpr std::uint32_t Targets = 42;
     constexpr std::uint16_t Flows = 60;
     for (std::uint32_t number = 1; number <= Targets; ++number)
@@ -417,6 +418,7 @@
 
 TEST_F(EntrySearchTest, IdempotentFlowIsResetWhenAllReachableAgentsDenyIt)
 {
+    m_entry.startedAt = LongAgo;
     // After a power loss of the whole system a VM that was leaving does not start again, but its target is still listed.
     m_entry.routes.routes[ServiceAddress].isIdempotent = true;
     publish(makeTarget(1));
@@ -441,6 +443,7 @@
 
 TEST_F(EntrySearchTest, ClosedReportOfDrainingTargetCountsAsDenial)
 {
+    m_entry.startedAt = LongAgo;
     publish(makeTarget(1));
     auto draining = makeTarget(2);
     draining.isDraining = true;
@@ -621,6 +624,7 @@
 
 TEST_F(EntrySearchTest, DeniedFlowIsResetImmediatelyWhenTargetsArePropagated)
 {
+    m_entry.startedAt = LongAgo;
     publish(makeTarget(1));
     publish(makeTarget(2));
     receive(makeData(501), 2'000);
@@ -630,6 +634,21 @@
     EXPECT_EQ(m_output.refreshes, 0);
 }
 
+// Failure: a target that replaces another one at the same address gets flows at once, and a daemon that started in between, and so never
+// knew the address, resets them before it has read the target's entry.
+TEST_F(EntrySearchTest, DaemonThatHasJustStartedNeedsListAsNewAsSearch)
+{
+    publish(makeTarget(1));
+    m_entry.watchStartedAt.reset();
+    markTargetsCurrent(m_entry, at(1'900));
+    receive(makeData(501), 2'000);
+    notify(1, NoticeKind::Denied, 2'002);
+    EXPECT_TRUE(m_output.resets.empty());
+    markTargetsCurrent(m_entry, at(2'050));
+    retryPendingResets(m_entry, at(2'060), m_output);
+    EXPECT_EQ(m_output.resets.size(), 1U);
+}
+
 TEST_F(EntrySearchTest, AgentsOfOtherServicesAreQueriedForMaximumFlowAgeAfterStart)
 {
     publish(makeTarget(1));
--- a/Tests/LibEmulator/TestRandomDisruptions.cpp
+++ b/Tests/LibEmulator/TestRandomDisruptions.cpp
@@ -59,7 +59,9 @@
         return kinds;
     }
     for (std::size_t kind = 0; kind < DisruptionKindCount; ++kind) {
-        if (static_cast<DisruptionKind>(kind) != DisruptionKind::WithdrawTargets)
+        const auto isDefault = static_cast<DisruptionKind>(kind) != DisruptionKind::WithdrawTargets
+                               && static_cast<DisruptionKind>(kind) != DisruptionKind::LosePower;
+        if (isDefault)
             kinds.push_back(static_cast<DisruptionKind>(kind));
     }
     return kinds;
@@ -99,17 +101,19 @@
 
 class RandomDisruptionSeeds : public testing::TestWithParam<std::uint64_t>
 {
+protected:
+    /// Plays disruptions of these kinds and checks the rule on open flows.
+    void playAndCheck(const std::vector<DisruptionKind> &kinds);
 };
 
-// Guards against resets and misdirected packets of open flows while several kinds of disruptions and planned work overlap.
-TEST_P(RandomDisruptionSeeds, OverlappingDisruptionsBreakNoFlow)
+void RandomDisruptionSeeds::playAndCheck(const std::vector<DisruptionKind> &kinds)
 {
     const auto options = makeOptions(GetParam());
     RelaySimulation simulation(options);
     simulation.callers().setPortReuseRate(GetParam() % 2 == 0 ? 0.3 : 0);
     simulation.startCallers(CallerTime);
     simulation.run(Duration(2'500));
-    RandomDisruptions disruptions(simulation, GetParam(), kindsFromEnvironment(), options.routes);
+    RandomDisruptions disruptions(simulation, GetParam(), kinds, options.routes);
     disruptions.schedule(DisruptionTime);
     simulation.run(RunTime);
     const auto &rule = simulation.checkFlowRule();
@@ -121,8 +125,35 @@
         ADD_FAILURE() << rule.excusedResets() << " resets excused\n" << decisionCounts(simulation) << simulation.brokenFlowEvents();
 }
 
+// Guards against resets and misdirected packets of open flows while several kinds of disruptions and planned work overlap.
+TEST_P(RandomDisruptionSeeds, OverlappingDisruptionsBreakNoFlow)
+{
+    playAndCheck(kindsFromEnvironment());
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomDisruptionSeeds, testing::ValuesIn(seedsFromEnvironment()));
 
+class RandomStartSeeds : public RandomDisruptionSeeds
+{
+};
+
+// Guards against resets by entry daemons that start after the loss of everything, while the store is away or restored, targets are
+// replaced and entry daemons are frozen or restarted: the evidence that ends their wait must be right.
+TEST_P(RandomStartSeeds, StartsAfterLossOfPowerBreakNoFlow)
+{
+    playAndCheck({DisruptionKind::FreezeEntries,
+                  DisruptionKind::RestartEntries,
+                  DisruptionKind::KillEntries,
+                  DisruptionKind::RestartAgents,
+                  DisruptionKind::ReleaseTargets,
+                  DisruptionKind::StopStore,
+                  DisruptionKind::RestoreStore,
+                  DisruptionKind::CrashTargets,
+                  DisruptionKind::LosePower});
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomStartSeeds, testing::ValuesIn(seedsFromEnvironment()));
+
 } // namespace
 
 } // namespace Papaya::Emulator
