RequestPolicy: Do not report a request as not run after a broken attempt

Cause: an idempotent request whose first attempt broke may have run. When its retry was refused or could not be sent and no further retry was allowed, or when its deadline passed while it waited for the retry, the caller was told that the request had not run.

Change: a request keeps that an attempt may have run it, and its caller gets the outcome 'unknown' from then on.

Evidence: RequestThatMayHaveRunIsNeverReportedAsNotRun fails on the code before, and ExpiredRetryKeepsThatItMayHaveRun shows the second path.

--- a/Libraries/LibCoordination/RequestPolicy.cpp
+++ b/Libraries/LibCoordination/RequestPolicy.cpp
@@ -208,6 +208,11 @@
     queue.running.erase(running);
 }
 
+void recordAttempt(RequestTraits &traits, AttemptOutcome outcome)
+{
+    traits.mayHaveRun = traits.mayHaveRun || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::DeadlinePassed;
+}
+
 NextStep decideNextStep(AttemptOutcome outcome, const RequestTraits &traits, RetryBudget &budget, TimePoint now)
 {
     if (outcome == AttemptOutcome::Answered)
@@ -216,7 +221,7 @@
     const bool mayRetry = hasCertainlyNotRun || (traits.isIdempotent && outcome == AttemptOutcome::Broken);
     if (mayRetry && traits.deadline > now && traits.attempts < MaximumAttempts && consumeRetryToken(budget))
         return NextStep::Retry;
-    return hasCertainlyNotRun ? NextStep::ReportNotRun : NextStep::ReportUnknown;
+    return hasCertainlyNotRun && !traits.mayHaveRun ? NextStep::ReportNotRun : NextStep::ReportUnknown;
 }
 
 } // namespace Papaya
--- a/Libraries/LibCoordination/RequestPolicy.h
+++ b/Libraries/LibCoordination/RequestPolicy.h
@@ -24,6 +24,8 @@
     TimePoint deadline;
     /// The earliest time at which a retry may be sent. The delay keeps retries from adding load to a target that is overloaded.
     TimePoint notBefore;
+    /// Whether an earlier attempt may have run the request. Its caller must not be told that it has not run, whatever later attempts show.
+    bool mayHaveRun = false;
     /// Number of times that the request was sent to a target.
     int attempts = 0;
 };
@@ -161,6 +163,9 @@
 /// halves the open slots.
 void finish(RequestQueue &queue, RequestId id, AttemptOutcome outcome, TimePoint now);
 
+/// Records the outcome of an attempt in the request's properties. Call before decideNextStep().
+void recordAttempt(RequestTraits &traits, AttemptOutcome outcome);
+
 /// Decides the next step after an attempt. A request is retried only if it certainly did not run or is idempotent, and only
 /// before its deadline, within the attempt limit and within the retry budget.
 [[nodiscard]] NextStep decideNextStep(AttemptOutcome outcome, const RequestTraits &traits, RetryBudget &budget, TimePoint now);
--- a/Services/TargetAgent/RequestEngine.cpp
+++ b/Services/TargetAgent/RequestEngine.cpp
@@ -173,7 +173,7 @@
 void RequestEngine::onTick(TimePoint now)
 {
     for (const auto &traits : takeExpired(m_queue, now))
-        failRequest(traits.id, StatusGatewayTimeout, OutcomeNotRun, "deadline_before_dispatch", now);
+        failRequest(traits.id, StatusGatewayTimeout, traits.mayHaveRun ? OutcomeUnknown : OutcomeNotRun, "deadline_before_dispatch", now);
     expireRunning(now);
     processFlows(now);
 }
@@ -302,6 +302,7 @@
         m_calls.erase(call);
     }
     finish(m_queue, id, attemptOutcome, now);
+    recordAttempt(pending.traits, attemptOutcome);
     const auto step = decideNextStep(attemptOutcome, pending.traits, m_retryBudget, now);
     switch (step) {
     case NextStep::DeliverAnswer:
--- a/Tests/LibCoordination/TestRequestPolicy.cpp
+++ b/Tests/LibCoordination/TestRequestPolicy.cpp
@@ -140,4 +140,38 @@
     EXPECT_EQ(queue.openSlots, 1);
 }
 
+// Failure: the first attempt of an idempotent request breaks and may have run, the retry is refused, and the caller is told that the
+// request has not run.
+TEST(RequestPolicy, RequestThatMayHaveRunIsNeverReportedAsNotRun)
+{
+    for (const auto later : {AttemptOutcome::Refused, AttemptOutcome::NothingSent}) {
+        auto traits = request(1);
+        traits.isIdempotent = true;
+        traits.attempts = 1;
+        RetryBudget budget;
+        budget.tokens = 1;
+        recordAttempt(traits, AttemptOutcome::Broken);
+        ASSERT_EQ(decideNextStep(AttemptOutcome::Broken, traits, budget, Start), NextStep::Retry);
+        recordAttempt(traits, later);
+        EXPECT_EQ(decideNextStep(later, traits, budget, Start), NextStep::ReportUnknown);
+    }
+    auto traits = request(2);
+    RetryBudget emptyBudget;
+    emptyBudget.tokens = 0;
+    recordAttempt(traits, AttemptOutcome::Refused);
+    EXPECT_EQ(decideNextStep(AttemptOutcome::Refused, traits, emptyBudget, Start), NextStep::ReportNotRun);
+}
+
+// Failure: the same when the deadline passes while the request waits for its retry.
+TEST(RequestPolicy, ExpiredRetryKeepsThatItMayHaveRun)
+{
+    auto queue = queueWith(1);
+    auto traits = request(1, Duration(1'000));
+    recordAttempt(traits, AttemptOutcome::Broken);
+    requeue(queue, traits, Start + Duration(900));
+    const auto expired = takeExpired(queue, Start + Duration(1'001));
+    ASSERT_EQ(expired.size(), 1U);
+    EXPECT_TRUE(expired.front().mayHaveRun);
+}
+
 } // namespace Papaya
