--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -450,13 +450,35 @@
     return record != nullptr && isUnreachable(entry.directory, *record);
 }
 
-bool mayListLackTargets(const EntryRelay &entry, TimePoint now)
+ListEvidence listEvidence(const EntryRelay &entry, TimePoint now)
 {
     if (!entry.firstTargetListAsOf)
-        return true;
-    if (entry.peerEvidence == PeerEvidence::Settled || haveAllTargetsJustStarted(entry))
-        return false;
-    return !areTargetsCurrentAsOf(entry, *entry.firstTargetListAsOf + entry.limits.relistingTime, now);
+        return ListEvidence::None;
+    if (areTargetsCurrentAsOf(entry, *entry.firstTargetListAsOf + entry.limits.relistingTime, now))
+        return ListEvidence::Elapsed;
+    if (entry.peerEvidence == PeerEvidence::Settled)
+        return ListEvidence::Peer;
+    return haveAllTargetsJustStarted(entry) ? ListEvidence::CommonStart : ListEvidence::None;
+}
+
+std::string_view listEvidenceName(ListEvidence evidence)
+{
+    switch (evidence) {
+    case ListEvidence::None:
+        return "none";
+    case ListEvidence::Elapsed:
+        return "elapsed";
+    case ListEvidence::Peer:
+        return "peer";
+    case ListEvidence::CommonStart:
+        return "common_start";
+    }
+    return "unknown";
+}
+
+bool mayListLackTargets(const EntryRelay &entry, TimePoint now)
+{
+    return listEvidence(entry, now) == ListEvidence::None;
 }
 
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output)
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -391,6 +391,7 @@
 {
     const auto now = currentTime();
     onEntryTick(m_relay, now, *this);
+    logListEvidence(now);
     if (now - m_subscribedAt >= SubscriptionInterval)
         subscribeToAgents();
     if (const auto suppressed = m_routineLogLimiter.takeSuppressed() + m_failureLogLimiter.takeSuppressed(); suppressed > 0)
@@ -399,6 +400,18 @@
         m_isStopped = true;
 }
 
+void RelayEntryTask::logListEvidence(TimePoint now)
+{
+    const auto evidence = listEvidence(m_relay, now);
+    if (m_isListSettled || evidence == ListEvidence::None)
+        return;
+    m_isListSettled = true;
+    EventLog("targets_settled")
+        .with("evidence", listEvidenceName(evidence))
+        .with("targets", m_relay.directory.targets.size())
+        .with("after_ms", static_cast<std::uint64_t>((now - m_relay.startedAt).count()));
+}
+
 bool RelayEntryTask::isReady() const
 {
     return hasRoutesAndTargets(m_relay) && !m_stopAt;
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -56,6 +56,8 @@
     void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
     void onTick();
+    /// Logs once which evidence ended the wait for entries that may be missing from the list of targets.
+    void logListEvidence(TimePoint now);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] StatusReport report();
     [[nodiscard]] ExplainReport explain(const std::string &flow) const;
@@ -80,6 +82,7 @@
     /// Whether a KnowledgeFetchTask is querying the peers.
     bool m_isQueryingPeers = false;
     bool m_hasQueriedPeers = false;
+    bool m_isListSettled = false;
     TimePoint m_peersQueriedAt;
     TimePoint m_subscribedAt;
     std::optional<TimePoint> m_stopAt;
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -487,7 +487,7 @@
         m_entry.startIncarnation = StartTime;
         for (std::uint32_t number = 1; number <= 3; ++number) {
             auto target = makeTarget(number);
-            target.incarnation = isOneTargetOld && number == 3 ? StartTime - 20'000 : StartTime - 500 + 300 * number;
+            target.incarnation = isOneTargetOld && number == 3 ? StartTime - 20'000 : StartTime - 500 + Incarnation {300} * number;
             publish(target);
         }
         receive(makeData(501), 200);
--- a/Tests/Platform/TestStoreValueParser.cpp
+++ b/Tests/Platform/TestStoreValueParser.cpp
@@ -159,8 +159,12 @@
     for (const auto *address :
          {"10.1.0.1:65536", "10.1.0.1:-1", "10.1.0.1:0", "10.1.0.1:", "10.1.0.1:99999999999999999999", "10.1.0.256:80"})
         EXPECT_TRUE(parseTarget(TargetKey, makeTargetText(address, "5", "1"), AgentPort).has_error()) << address;
-    for (const auto &number :
-         {digits, "-" + digits, digits + "." + digits, "1e" + digits, std::string("18446744073709551616"), std::string("5.5")}) {
+    for (const auto &number : {digits,
+                               "-" + digits,
+                               std::string(digits).append(".").append(digits),
+                               "1e" + digits,
+                               std::string("18446744073709551616"),
+                               std::string("5.5")}) {
         EXPECT_TRUE(parseTarget(TargetKey, makeTargetText("10.1.0.1:80", number, "1"), AgentPort).has_error()) << number;
         EXPECT_TRUE(parseTarget(TargetKey, makeTargetText("10.1.0.1:80", "5", number), AgentPort).has_error()) << number;
     }
