--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCoordination/EntryPlacement.h"
 #include "LibCoordination/EntrySearch.h"
+#include "LibCoordination/ListEvidence.h"
 
 #include <algorithm>
 
--- a/Libraries/LibCoordination/EntrySearch.h
+++ b/Libraries/LibCoordination/EntrySearch.h
@@ -55,27 +55,6 @@
 /// without the agent's answer. A flow whose request must not run twice is not reset, since its target may still answer.
 [[nodiscard]] bool mayResetWithoutAgent(const EntryRelay &entry, const FlowKey &flow, const Endpoint &agent);
 
-/// Why the list of targets lacks none that serves.
-enum class ListEvidence : std::uint8_t {
-    /// It may lack some: it comes from another entry daemon, or entries may have expired while the platform was unavailable.
-    None,
-    /// It is complete up to the time at which expired entries are listed again.
-    Elapsed,
-    /// A peer has a settled list, and this daemon has all its targets.
-    Peer,
-    /// All targets began their runs together with this daemon.
-    CommonStart,
-};
-
-/// Returns the evidence that the list of targets lacks none that serves.
-[[nodiscard]] ListEvidence listEvidence(const EntryRelay &entry, TimePoint now);
-
-/// Returns the stable name of an evidence for logs.
-[[nodiscard]] std::string_view listEvidenceName(ListEvidence evidence);
-
-/// Returns whether there is no evidence that the list of targets lacks none that serves.
-[[nodiscard]] bool mayListLackTargets(const EntryRelay &entry, TimePoint now);
-
 /// Continues the searches whose reset waits for a current list of targets: asks the agents of targets that were listed since, or
 /// tries the reset again.
 void retryPendingResets(EntryRelay &entry, TimePoint now, EntryOutput &output);
--- a/Libraries/LibCoordination/RelayKnowledge.cpp
+++ b/Libraries/LibCoordination/RelayKnowledge.cpp
@@ -1,6 +1,6 @@
 #include "LibCoordination/RelayKnowledge.h"
 
-#include "LibCoordination/EntrySearch.h"
+#include "LibCoordination/ListEvidence.h"
 #include "LibCoordination/RendezvousHash.h"
 
 #include <algorithm>
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -1,6 +1,7 @@
 #include "RelayEntryTask.h"
 
 #include "LibCoordination/EntrySearch.h"
+#include "LibCoordination/ListEvidence.h"
 #include "LibProtocol/KnowledgeCodec.h"
 #include "LibTransport/ExplainFlow.h"
 #include "LibTransport/MonotonicClock.h"
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -2,6 +2,7 @@
 
 #include "LibCoordination/EntryRelay.h"
 #include "LibCoordination/EntrySearch.h"
+#include "LibCoordination/ListEvidence.h"
 #include "LibCoordination/SearchPlan.h"
 
 #include <gtest/gtest.h>
@@ -159,4 +160,12 @@
     Recorder m_output;
 };
 
+/// The same, for searches.
+class EntrySearchTest : public EntryRelayFixture
+{
+protected:
+    /// Number of packets that were sent to targets.
+    [[nodiscard]] std::size_t probeCount() const { return m_output.sent.size() - m_output.queries.size(); }
+};
+
 } // namespace Papaya::EntryTest
--- a/Tests/LibCoordination/TestRelayKnowledge.cpp
+++ b/Tests/LibCoordination/TestRelayKnowledge.cpp
@@ -1,4 +1,4 @@
-#include "LibCoordination/EntrySearch.h"
+#include "LibCoordination/ListEvidence.h"
 #include "LibCoordination/RelayKnowledge.h"
 
 #include <gtest/gtest.h>
