RelayKnowledge: Send newer routes also without a settled list

Cause: a peer that has started a moment ago omitted its routes from the answer to a digest.

Change: the digest names the version of the routes, and a peer with newer ones sends everything. The path's parameters are encoded and decoded in KnowledgeCodec.

Evidence: RelayKnowledgeTest.DaemonThatHasJustStartedSendsNewerRoutes states the case that failed.

--- a/Libraries/LibCoordination/RelayKnowledge.cpp
+++ b/Libraries/LibCoordination/RelayKnowledge.cpp
@@ -42,25 +42,27 @@
 
 } // namespace
 
-std::uint64_t knowledgeDigest(const EntryRelay &entry, TimePoint now)
+KnowledgeDigest knowledgeDigest(const EntryRelay &entry, TimePoint now)
 {
-    auto digest = hashOf(std::to_string(entry.routes.version));
+    KnowledgeDigest digest;
+    digest.routesVersion = entry.routes.version;
     for (const auto &[id, record] : entry.directory.targets) {
         if (isTerminated(entry.directory, record, now))
             continue;
         const auto &target = record.published;
         const auto *state = !isListed(record, now) ? "/withdrawn" : target.isDraining ? "/draining" : "/ready";
-        digest ^= hashOf(std::to_string(id) + "/" + std::to_string(target.incarnation) + state);
+        digest.hash ^= hashOf(std::to_string(id) + "/" + std::to_string(target.incarnation) + state);
     }
     return digest;
 }
 
-std::optional<RelayKnowledge> answerKnowledgeRequest(const EntryRelay &entry, const std::optional<std::uint64_t> &digest, TimePoint now)
+std::optional<RelayKnowledge> answerKnowledgeRequest(const EntryRelay &entry, const std::optional<KnowledgeDigest> &digest, TimePoint now)
 {
     if (!hasRoutesAndTargets(entry))
         return std::nullopt;
     const bool isSettled = !mayListLackTargets(entry, now);
-    if (digest && (!isSettled || *digest == knowledgeDigest(entry, now)))
+    const bool hasNewerRoutes = digest && entry.routes.version > digest->routesVersion;
+    if (digest && !hasNewerRoutes && (!isSettled || *digest == knowledgeDigest(entry, now)))
         return RelayKnowledge {{}, {}, {}, isSettled};
     return exportKnowledge(entry, now);
 }
--- a/Libraries/LibCoordination/RelayKnowledge.h
+++ b/Libraries/LibCoordination/RelayKnowledge.h
@@ -20,15 +20,23 @@
     bool isSettled = false;
 };
 
-/// Returns a number that two entry daemons with the same routes and targets have in common.
-[[nodiscard]] std::uint64_t knowledgeDigest(const EntryRelay &entry, TimePoint now);
+/// Describes the routes and targets of an entry daemon to a peer. Daemons with the same routes and targets have equal digests.
+struct KnowledgeDigest {
+    std::uint64_t routesVersion = 0;
+    std::uint64_t hash = 0;
+
+    bool operator==(const KnowledgeDigest &) const = default;
+};
+
+/// Returns the digest of the routes and targets of an entry daemon.
+[[nodiscard]] KnowledgeDigest knowledgeDigest(const EntryRelay &entry, TimePoint now);
 
 /// Answers a daemon that has just started; returns nothing before this one has read routes and targets. `digest` is that of the routes and
 /// targets that the asking daemon has read from the platform. The answer omits routes and targets if that daemon has the same, or if this
-/// daemon's list is not settled: then it was read from the platform as recently as the other one's. Answers stay small while all
-/// daemons start at once.
+/// daemon's routes are not newer and its list is not settled: then the list was read from the platform as recently as the other one's.
+/// Answers stay small while all daemons start at once.
 [[nodiscard]] std::optional<RelayKnowledge>
-answerKnowledgeRequest(const EntryRelay &entry, const std::optional<std::uint64_t> &digest, TimePoint now);
+answerKnowledgeRequest(const EntryRelay &entry, const std::optional<KnowledgeDigest> &digest, TimePoint now);
 
 /// Records that no further answer of a peer is expected. If none of them came from a daemon with a settled list, the system has started as
 /// a whole.
--- a/Libraries/LibEmulator/EmulatedEntry.cpp
+++ b/Libraries/LibEmulator/EmulatedEntry.cpp
@@ -115,7 +115,7 @@
     m_events.schedule(PeerQueryTime, [this, generation = m_process.generation()] {
         if (m_process.generation() != generation)
             return;
-        std::optional<std::uint64_t> digest;
+        std::optional<KnowledgeDigest> digest;
         if (hasRoutesAndTargets(m_relay))
             digest = knowledgeDigest(m_relay, m_events.now());
         m_process.post([this, answers = m_network.queryPeers(m_address, digest)] { adoptAnswers(answers); });
--- a/Libraries/LibEmulator/EmulatedEntry.h
+++ b/Libraries/LibEmulator/EmulatedEntry.h
@@ -28,7 +28,7 @@
     void receiveFromCaller(const EmulatedPacket &packet);
     void receiveFromAgent(const Endpoint &agent, std::vector<std::byte> datagram);
     /// Returns the routes and targets of this daemon, if it has read them.
-    [[nodiscard]] std::optional<RelayKnowledge> answerPeer(const std::optional<std::uint64_t> &digest) const
+    [[nodiscard]] std::optional<RelayKnowledge> answerPeer(const std::optional<KnowledgeDigest> &digest) const
     {
         return answerKnowledgeRequest(m_relay, digest, m_events.now());
     }
--- a/Libraries/LibEmulator/EmulatedNetwork.h
+++ b/Libraries/LibEmulator/EmulatedNetwork.h
@@ -27,7 +27,7 @@
     virtual void recordOpened(const Endpoint &agent, const FlowKey &flow) = 0;
     /// Returns the answers of other entry daemons that are ready to a daemon that has the routes and targets with this digest, or none:
     /// up to three, or up to the first one from a daemon whose list is settled.
-    virtual std::vector<RelayKnowledge> queryPeers(const Endpoint &entry, const std::optional<std::uint64_t> &digest) = 0;
+    virtual std::vector<RelayKnowledge> queryPeers(const Endpoint &entry, const std::optional<KnowledgeDigest> &digest) = 0;
 };
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibEmulator/RelaySimulation.cpp
+++ b/Libraries/LibEmulator/RelaySimulation.cpp
@@ -176,7 +176,7 @@
     return text;
 }
 
-std::vector<RelayKnowledge> RelaySimulation::queryPeers(const Endpoint &entry, const std::optional<std::uint64_t> &digest)
+std::vector<RelayKnowledge> RelaySimulation::queryPeers(const Endpoint &entry, const std::optional<KnowledgeDigest> &digest)
 {
     std::vector<RelayKnowledge> answers;
     for (const auto &peer : m_entries) {
--- a/Libraries/LibEmulator/RelaySimulation.h
+++ b/Libraries/LibEmulator/RelaySimulation.h
@@ -131,7 +131,7 @@
     void recordEvent(const std::string &process, const FlowKey &flow, const std::string &event) override;
     void recordTargetPacket(const Endpoint &agent, const PacketSummary &packet) override;
     void recordOpened(const Endpoint &agent, const FlowKey &flow) override;
-    std::vector<RelayKnowledge> queryPeers(const Endpoint &entry, const std::optional<std::uint64_t> &digest) override;
+    std::vector<RelayKnowledge> queryPeers(const Endpoint &entry, const std::optional<KnowledgeDigest> &digest) override;
 
     void transmit(Duration delay, EventQueue::Action delivery);
     [[nodiscard]] std::unique_ptr<EmulatedTarget> makeTarget(std::size_t index, const TargetOptions &options);
--- a/Libraries/LibProtocol/KnowledgeCodec.cpp
+++ b/Libraries/LibProtocol/KnowledgeCodec.cpp
@@ -2,12 +2,31 @@
 
 #include "Generated/Knowledge_generated.h"
 
+#include <charconv>
+
 namespace Papaya {
 
 namespace {
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
+constexpr std::string_view VersionParameter = "?version=";
+constexpr std::string_view HashParameter = "&hash=";
+
+/// Reads a parameter with a decimal number at the start of a text and removes both. Returns nothing if there is none.
+std::optional<std::uint64_t> takeNumber(std::string_view &text, std::string_view parameter)
+{
+    if (!text.starts_with(parameter))
+        return std::nullopt;
+    text.remove_prefix(parameter.size());
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc {})
+        return std::nullopt;
+    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+    return number;
+}
+
 constexpr std::size_t InitialBuilderSize = std::size_t {16} * 1'024;
 
 KnowledgeWire::Address toWire(const Endpoint &endpoint)
@@ -100,6 +119,28 @@
 
 } // namespace
 
+std::string encodeKnowledgePath(const std::optional<KnowledgeDigest> &digest)
+{
+    std::string path(KnowledgePath);
+    if (digest) {
+        path.append(VersionParameter).append(std::to_string(digest->routesVersion));
+        path.append(HashParameter).append(std::to_string(digest->hash));
+    }
+    return path;
+}
+
+std::optional<KnowledgeDigest> decodeKnowledgePath(std::string_view path)
+{
+    if (!path.starts_with(KnowledgePath))
+        return std::nullopt;
+    path.remove_prefix(KnowledgePath.size());
+    const auto version = takeNumber(path, VersionParameter);
+    const auto hash = takeNumber(path, HashParameter);
+    if (!version || !hash || !path.empty())
+        return std::nullopt;
+    return KnowledgeDigest {*version, *hash};
+}
+
 std::string encodeKnowledge(const RelayKnowledge &knowledge)
 {
     Builder builder(InitialBuilderSize);
--- a/Libraries/LibProtocol/KnowledgeCodec.h
+++ b/Libraries/LibProtocol/KnowledgeCodec.h
@@ -2,15 +2,20 @@
 
 #include "LibCoordination/RelayKnowledge.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace Papaya {
 
-/// The HTTP path under which an entry daemon serves its routes and targets to peers, and the same with the digest of what the asking daemon
-/// has, a decimal number.
+/// The HTTP path under which an entry daemon serves its routes and targets to peers. A query may follow it.
 inline constexpr std::string_view KnowledgePath = "/knowledge";
-inline constexpr std::string_view KnowledgeDigestQuery = "/knowledge?digest=";
+
+/// Returns the path and query with which a daemon asks a peer: with the digest of what it has, or without.
+[[nodiscard]] std::string encodeKnowledgePath(const std::optional<KnowledgeDigest> &digest);
+
+/// Returns the digest in a path from encodeKnowledgePath(), or nothing if there is no valid one.
+[[nodiscard]] std::optional<KnowledgeDigest> decodeKnowledgePath(std::string_view path);
 
 /// Maximum size of an encoded snapshot in bytes. decodeKnowledge() rejects larger input.
 inline constexpr std::size_t KnowledgeSizeLimit = std::size_t {4} * 1'024 * 1'024;
--- a/Libraries/LibTransport/DaemonMessages.h
+++ b/Libraries/LibTransport/DaemonMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCoordination/RelayKnowledge.h"
 #include "LibCoordination/RevisionDecision.h"
 #include "LibCoordination/VmListChange.h"
 #include "LibState/Configuration.h"
@@ -79,7 +80,7 @@
 /// Requests the routes and targets from the main task of a relaying entry daemon. The response is a KnowledgeReport.
 struct KnowledgeRequest {
     /// The digest of the routes and targets that the asking daemon has; nothing if it has none.
-    std::optional<std::uint64_t> digest;
+    std::optional<KnowledgeDigest> digest;
 };
 
 /// The routes and targets of a relaying entry daemon, as served at /knowledge.
--- a/Libraries/LibTransport/KnowledgeFetchTask.cpp
+++ b/Libraries/LibTransport/KnowledgeFetchTask.cpp
@@ -21,12 +21,12 @@
 KnowledgeFetchTask::KnowledgeFetchTask(caf::actor_config &config,
                                        std::vector<Endpoint> peers,
                                        const KnowledgeFetchLimits &limits,
-                                       const std::optional<std::uint64_t> &digest,
+                                       const std::optional<KnowledgeDigest> &digest,
                                        caf::actor mainTask)
     : caf::blocking_actor(config)
     , m_peers(std::move(peers))
     , m_limits(limits)
-    , m_path(digest ? std::string(KnowledgeDigestQuery) + std::to_string(*digest) : std::string(KnowledgePath))
+    , m_path(encodeKnowledgePath(digest))
     , m_mainTask(std::move(mainTask))
 {
 }
--- a/Libraries/LibTransport/KnowledgeFetchTask.h
+++ b/Libraries/LibTransport/KnowledgeFetchTask.h
@@ -38,7 +38,7 @@
     KnowledgeFetchTask(caf::actor_config &config,
                        std::vector<Endpoint> peers,
                        const KnowledgeFetchLimits &limits,
-                       const std::optional<std::uint64_t> &digest,
+                       const std::optional<KnowledgeDigest> &digest,
                        caf::actor mainTask);
 
     void act() override;
--- a/Libraries/LibTransport/OperatorHttpTask.cpp
+++ b/Libraries/LibTransport/OperatorHttpTask.cpp
@@ -64,22 +64,9 @@
     return makeResponse(readiness, status->isReady ? "ready\n" : "not ready\n", "text/plain");
 }
 
-/// Returns the digest in a query such as /knowledge?digest=12, or nothing if there is no valid one.
-std::optional<std::uint64_t> digestOf(std::string_view requestTarget)
-{
-    if (!requestTarget.starts_with(KnowledgeDigestQuery))
-        return std::nullopt;
-    const auto text = requestTarget.substr(KnowledgeDigestQuery.size());
-    std::uint64_t digest = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), digest);
-    if (error != std::errc {} || end != text.data() + text.size())
-        return std::nullopt;
-    return digest;
-}
-
 Response handleKnowledgeRequest(caf::actor_system &system, const caf::actor &task, std::string_view requestTarget)
 {
-    auto report = requestFrom<KnowledgeReport>(system, task, KnowledgeRequest {digestOf(requestTarget)});
+    auto report = requestFrom<KnowledgeReport>(system, task, KnowledgeRequest {decodeKnowledgePath(requestTarget)});
     if (!report || report->bytes.empty())
         return makeResponse(http::status::service_unavailable, "nothing known\n", "text/plain");
     return makeResponse(http::status::ok, std::move(report->bytes), "application/octet-stream");
@@ -104,7 +91,7 @@
 {
     if (requestTarget == "/healthz" || requestTarget == "/readyz" || requestTarget == "/metrics" || requestTarget == "/status")
         return handleStatusRequest(system, task, requestTarget);
-    if (requestTarget == KnowledgePath || requestTarget.starts_with(KnowledgeDigestQuery))
+    if (requestTarget.starts_with(KnowledgePath))
         return handleKnowledgeRequest(system, task, requestTarget);
     if (!requestTarget.starts_with(ExplainQuery))
         return makeResponse(http::status::not_found, "unknown path\n", "text/plain");
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -186,7 +186,7 @@
     EventLog("peers_asked").with("peers", peers.size());
     m_isQueryingPeers = true;
     m_peersQueriedAt = currentTime();
-    std::optional<std::uint64_t> digest;
+    std::optional<KnowledgeDigest> digest;
     if (hasRoutesAndTargets(m_relay))
         digest = knowledgeDigest(m_relay, currentTime());
     system().spawn<KnowledgeFetchTask, caf::detached>(std::move(peers), limits, digest, caf::actor_cast<caf::actor>(this));
--- a/Tests/LibCoordination/TestRelayKnowledge.cpp
+++ b/Tests/LibCoordination/TestRelayKnowledge.cpp
@@ -203,12 +203,22 @@
 
 TEST_F(RelayKnowledgeTest, DaemonThatHasJustStartedSendsNoTargetsToOneThatHasReadThePlatform)
 {
-    const auto answer = answerKnowledgeRequest(makeInformed(Start, m_output), 1, Start + Duration(500));
+    const auto answer = answerKnowledgeRequest(makeInformed(Start, m_output), KnowledgeDigest {5, 1}, Start + Duration(500));
     ASSERT_TRUE(answer.has_value());
     EXPECT_FALSE(answer->isSettled);
     EXPECT_TRUE(answer->targets.empty());
 }
 
+// Failure: a daemon that starts after a restore of the store keeps the older routes of the copy, since its peers have no settled list
+// either.
+TEST_F(RelayKnowledgeTest, DaemonThatHasJustStartedSendsNewerRoutes)
+{
+    const auto answer = answerKnowledgeRequest(makeInformed(Start, m_output), KnowledgeDigest {4, 1}, Start + Duration(500));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_FALSE(answer->isSettled);
+    EXPECT_EQ(answer->routes.version, 5U);
+}
+
 TEST_F(RelayKnowledgeTest, SettledPeerEndsTheWaitForExpiredEntries)
 {
     auto entry = makeInformed(Start, m_output);
--- a/Tests/LibProtocol/TestKnowledgeCodec.cpp
+++ b/Tests/LibProtocol/TestKnowledgeCodec.cpp
@@ -73,6 +73,21 @@
     EXPECT_GT(rejected, 0);
 }
 
+TEST(KnowledgeCodec, PathCarriesDigest)
+{
+    const KnowledgeDigest digest {7, 18'446'744'073'709'551'615U};
+    EXPECT_EQ(decodeKnowledgePath(encodeKnowledgePath(digest)), digest);
+    EXPECT_EQ(encodeKnowledgePath(std::nullopt), "/knowledge");
+    for (const auto *path : {"/knowledge",
+                             "/knowledge?version=7",
+                             "/knowledge?version=&hash=1",
+                             "/knowledge?version=-1&hash=1",
+                             "/knowledge?version=7&hash=1x",
+                             "/knowledge?version=99999999999999999999&hash=1",
+                             "/status"})
+        EXPECT_FALSE(decodeKnowledgePath(path).has_value()) << path;
+}
+
 } // namespace
 
 } // namespace Papaya
