EntrySearch: Replace buffered packets that are too old for a probe

Cause: a search repeats its requests ten times a second, so each packet of the caller came within the retry interval, met a full buffer and was dropped. The buffered packets grew older than a probe may be, and a flow whose target's agent had restarted was never found again.

Change: a caller's packet replaces buffered ones that are older than the retry interval.

Evidence: RetransmittedPacketReplacesOldOnes fails on the code before.

--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -299,6 +299,9 @@
     if (summary.isReset || summary.isInitialSyn())
         return;
     if (now - flow.changedAt < entry.limits.searchRetryInterval) {
+        // The caller retransmits: what it sent before is no longer recent enough for a probe.
+        if (now - flow.bufferedAt >= entry.limits.searchRetryInterval)
+            flow.bufferedPackets.clear();
         if (flow.bufferedPackets.size() < entry.limits.bufferedPackets)
             bufferPacket(flow, packet, now);
         else
--- a/Tests/LibCoordination/TestSearchProbes.cpp
+++ b/Tests/LibCoordination/TestSearchProbes.cpp
@@ -151,6 +151,19 @@
     EXPECT_EQ(m_entry.flows.at(Flow).bufferedPackets.size(), 1U);
 }
 
+// Failure: the search repeats its requests on ticks, so each packet of the caller meets a full buffer, the buffered packets grow old, and
+// the flow's target is never probed.
+TEST_F(EntrySearchTest, RetransmittedPacketReplacesOldOnes)
+{
+    publish(makeTarget(1));
+    receive(makeData(501), 2'000);
+    receive(makeData(501), 2'010);
+    tickUntil(2'100, 4'200);
+    receive(makeData(501), 4'210);
+    answer(agentOf(1), FlowVerdict::Unknown, 4'220);
+    EXPECT_EQ(probeCount(), 1U);
+}
+
 // Failure: after the fabric moved a flow to another entry daemon, both send its packets to targets that do not hold it.
 TEST_F(EntrySearchTest, SearchWithoutRecentPacketProbesNoTarget)
 {
