QueryBatches: Name one service in each query

Callers: a flow was reset although its target held it. Cause: the flows of an agent's next query shared one service, that of the flow added last. An agent denies all flows of another service than its target's, so flows of two services in one query were denied falsely. That happens while a VM's address goes to another service. Change: pending flows keep their service, and a query has the flows of one. Evidence: QueryNamesServiceOfAllItsFlows fails on (both flows in one query, service of the second) and passes now.

--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -364,8 +364,7 @@
 void sendQueries(EntryRelay &entry, TimePoint now, EntryOutput &output)
 {
     for (const auto &agent : agentsDue(entry.queries, now)) {
-        const auto flowCount = std::min(entry.queries.batches[agent].pendingFlows.size(), entry.queries.limits.maximumFlowsPerQuery);
-        if (!consumeSearchBandwidth(entry, flowCount * sizeof(FlowKey), now))
+        if (!consumeSearchBandwidth(entry, nextQuerySize(entry.queries, agent) * sizeof(FlowKey), now))
             return;
         auto query = dequeueQuery(entry.queries, agent, now);
         std::erase_if(query.flows, [&](const FlowKey &key) {
--- a/Libraries/LibCoordination/QueryBatches.cpp
+++ b/Libraries/LibCoordination/QueryBatches.cpp
@@ -21,12 +21,15 @@
 void enqueueFlow(QueryBatches &queries, const Endpoint &agent, ServiceId service, const FlowKey &flow)
 {
     auto &batch = queries.batches[agent];
-    batch.service = service;
-    if (std::find(batch.pendingFlows.begin(), batch.pendingFlows.end(), flow) != batch.pendingFlows.end())
+    const auto pending = std::find_if(
+        batch.pendingFlows.begin(), batch.pendingFlows.end(), [&](const PendingFlow &candidate) { return candidate.flow == flow; });
+    if (pending != batch.pendingFlows.end()) {
+        pending->service = service;
         return;
+    }
     if (batch.pendingFlows.empty())
         ++queries.agentsWithPendingFlows;
-    batch.pendingFlows.push_back(flow);
+    batch.pendingFlows.push_back({service, flow});
 }
 
 void markAnswered(QueryBatches &queries, const Endpoint &agent)
@@ -53,15 +56,30 @@
     return agents;
 }
 
+std::size_t nextQuerySize(const QueryBatches &queries, const Endpoint &agent)
+{
+    const auto batch = queries.batches.find(agent);
+    if (batch == queries.batches.end() || batch->second.pendingFlows.empty())
+        return 0;
+    const auto &pending = batch->second.pendingFlows;
+    const auto count =
+        std::count_if(pending.begin(), pending.end(), [&](const PendingFlow &flow) { return flow.service == pending.front().service; });
+    return std::min(static_cast<std::size_t>(count), queries.limits.maximumFlowsPerQuery);
+}
+
 RelayQuery dequeueQuery(QueryBatches &queries, const Endpoint &agent, TimePoint now)
 {
     auto &batch = queries.batches[agent];
+    const auto count = nextQuerySize(queries, agent);
     RelayQuery query;
-    query.service = batch.service;
-    const auto count = std::min(batch.pendingFlows.size(), queries.limits.maximumFlowsPerQuery);
-    const auto end = batch.pendingFlows.begin() + static_cast<std::ptrdiff_t>(count);
-    query.flows.assign(batch.pendingFlows.begin(), end);
-    batch.pendingFlows.erase(batch.pendingFlows.begin(), end);
+    if (count > 0)
+        query.service = batch.pendingFlows.front().service;
+    std::erase_if(batch.pendingFlows, [&](const PendingFlow &pending) {
+        if (pending.service != query.service || query.flows.size() == count)
+            return false;
+        query.flows.push_back(pending.flow);
+        return true;
+    });
     if (batch.pendingFlows.empty() && count > 0)
         --queries.agentsWithPendingFlows;
     batch.sentAt = now;
--- a/Libraries/LibCoordination/QueryBatches.h
+++ b/Libraries/LibCoordination/QueryBatches.h
@@ -22,10 +22,16 @@
     std::size_t maximumFlowsPerQuery = 64;
 };
 
-/// The flows of the next queries to one agent.
-struct QueryBatch {
+/// A flow that an agent is to be asked for.
+struct PendingFlow {
+    /// The service whose target may hold the flow.
     ServiceId service = 0;
-    std::vector<FlowKey> pendingFlows;
+    FlowKey flow;
+};
+
+/// The flows of the next queries to one agent. A query names one service, so the flows of another one go into the next query.
+struct QueryBatch {
+    std::vector<PendingFlow> pendingFlows;
     /// When the last query was sent; nothing before the first one.
     std::optional<TimePoint> sentAt;
     /// Whether the answer to the last query is outstanding. Only one query to an agent is in flight at a time, so that slow
@@ -41,12 +47,15 @@
     std::size_t agentsWithPendingFlows = 0;
 };
 
-/// Adds a flow to the next query to an agent, unless it is in the agent's batch already.
+/// Adds a flow to the queries to an agent. If it is in the agent's batch already, the later service counts.
 void enqueueFlow(QueryBatches &queries, const Endpoint &agent, ServiceId service, const FlowKey &flow);
 
 /// Records that an agent answered its query, or that the query was not sent.
 void markAnswered(QueryBatches &queries, const Endpoint &agent);
 
+/// Returns the number of flows in the next query to an agent.
+[[nodiscard]] std::size_t nextQuerySize(const QueryBatches &queries, const Endpoint &agent);
+
 /// Returns the agents whose next query may be sent now, the one with the oldest last query first.
 [[nodiscard]] std::vector<Endpoint> agentsDue(const QueryBatches &queries, TimePoint now);
 
