TargetDirectory: Let no entry change the record of another one

Cause: one target for each agent address, so an entry of any service with a start that is not earlier erased the target on the VM that it named; the search then left the agent out and took the denials of all others as proof. Change: one record for each listed entry; what depends on a VM is decided from all its entries (VmEntries), in any order of reading. An entry that changes its VM or service leaves a withdrawn record of the former ones. Operators see what is set aside and why. Why it works: the agent of a listed target is in every search of its service, whatever other entries say, until its own entry has been withdrawn and the target has ended.

--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCoordination/ListEvidence.h"
 #include "LibCoordination/SearchPlan.h"
+#include "LibCoordination/VmEntries.h"
 
 #include <algorithm>
 
--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -1,6 +1,7 @@
 #include "LibCoordination/EntryRelay.h"
 #include "LibCoordination/EntrySearch.h"
 #include "LibCoordination/ListEvidence.h"
+#include "LibCoordination/VmEntries.h"
 
 /// Periodic tasks of an entry daemon: queries agents that do not answer, resets flows whose targets have terminated or are unreachable,
 /// repeats unanswered searches and removes expired entries.
@@ -21,10 +22,10 @@
 /// Returns whether the flow's entry has to be removed, since its target was only assumed.
 [[nodiscard]] bool checkOpenFlow(EntryRelay &entry, const FlowKey &key, EntryFlow &flow, TimePoint now, EntryOutput &output)
 {
-    const auto *record = findByAgent(std::as_const(entry.directory), flow.agent);
-    if (record == nullptr || flow.isFinished)
+    if (flow.isFinished)
         return false;
-    if (isTerminated(entry.directory, *record, now))
+    const auto *record = findServiceByAgent(entry.directory, flow.agent, flow.service, now);
+    if (record != nullptr && isTerminated(entry.directory, *record, now))
         return !endOpenFlow(entry, key, flow, RelayReason::TargetGone, now, output);
     const bool isUnreachable = flow.isRetransmitting && mayResetWithoutAgent(entry, key, flow.agent);
     return isUnreachable && !endOpenFlow(entry, key, flow, RelayReason::AgentUnreachable, now, output);
--- a/Libraries/LibCoordination/ListEvidence.cpp
+++ b/Libraries/LibCoordination/ListEvidence.cpp
@@ -1,5 +1,7 @@
 #include "LibCoordination/ListEvidence.h"
 
+#include "LibCoordination/VmEntries.h"
+
 #include <algorithm>
 
 namespace Papaya {
@@ -20,12 +22,12 @@
 
 /// Returns whether every listed target whose agent has sent a message began its run together with this daemon, and these are at least half
 /// of the listed targets. Then the whole system has lost power, and a target that the list lacks holds no earlier flow either.
-bool haveAllTargetsJustStarted(const EntryRelay &entry)
+bool haveAllTargetsJustStarted(const EntryRelay &entry, TimePoint now)
 {
     std::size_t listed = 0;
     std::size_t newRuns = 0;
     for (const auto &[id, record] : entry.directory.targets) {
-        if (record.withdrawnAt)
+        if (record.withdrawnAt || record.isDisownedByAgent || isSuperseded(entry.directory, record, now))
             continue;
         ++listed;
         if (!record.lastMessageAt)
@@ -54,7 +56,7 @@
         return ListEvidence::Elapsed;
     if (entry.peerEvidence == PeerEvidence::Settled)
         return ListEvidence::Peer;
-    return haveAllTargetsJustStarted(entry) ? ListEvidence::CommonStart : ListEvidence::None;
+    return haveAllTargetsJustStarted(entry, now) ? ListEvidence::CommonStart : ListEvidence::None;
 }
 
 std::string_view listEvidenceName(ListEvidence evidence)
--- a/Libraries/LibCoordination/RelayKnowledge.cpp
+++ b/Libraries/LibCoordination/RelayKnowledge.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCoordination/ListEvidence.h"
 #include "LibCoordination/RendezvousHash.h"
+#include "LibCoordination/VmEntries.h"
 
 #include <algorithm>
 
@@ -24,11 +25,13 @@
     }
 }
 
-/// Adds the targets that the peer's list no longer has, so that they are asked for earlier flows. Another target on the same VM goes first.
+/// Adds the targets that the peer's list no longer has, so that they are asked for earlier flows. Another target of the same service on the
+/// same VM stands for them.
 void importWithdrawn(EntryRelay &entry, std::span<const PublishedTarget> targets, TimePoint now, EntryOutput &output)
 {
     for (const auto &target : targets) {
-        if (entry.directory.targets.contains(target.id) || findByAgent(entry.directory, target.agent) != nullptr)
+        const bool isServiceKnown = findServiceByAgent(entry.directory, target.agent, target.service, now) != nullptr;
+        if (entry.directory.targets.contains(target.id) || isServiceKnown)
             continue;
         (void)onTargetPublished(entry, target, now, output);
         (void)applyWithdrawn(entry.directory, target.id, now);
@@ -47,7 +50,7 @@
     KnowledgeDigest digest;
     digest.routesVersion = entry.routes.version;
     for (const auto &[id, record] : entry.directory.targets) {
-        if (isTerminated(entry.directory, record, now))
+        if (isTerminated(entry.directory, record, now) || isRedundant(entry.directory, record, now))
             continue;
         const auto &target = record.published;
         const auto *state = !isListed(record, now) ? "/withdrawn" : target.isDraining ? "/draining" : "/ready";
@@ -81,7 +84,7 @@
     knowledge.isSettled = !mayListLackTargets(entry, now);
     knowledge.routes = entry.routes;
     for (const auto &[id, record] : entry.directory.targets) {
-        if (isTerminated(entry.directory, record, now))
+        if (isTerminated(entry.directory, record, now) || isRedundant(entry.directory, record, now))
             continue;
         auto target = record.published;
         target.coldTime = std::max<Duration>(record.coldUntil - now, Duration(0));
--- a/Libraries/LibCoordination/SearchPlan.cpp
+++ b/Libraries/LibCoordination/SearchPlan.cpp
@@ -32,15 +32,25 @@
     return record.wasColdWhenFirstRead || wasReadLater;
 }
 
-/// Appends targets to a plan in the order in which the flow's hash ranks them.
-void appendRanked(SearchPlan &plan, std::span<const PublishedTarget *const> targets, const FlowKey &flow, bool isRelated)
+bool isPlanned(const SearchPlan &plan, const Endpoint &agent)
+{
+    return std::any_of(plan.agents.begin(), plan.agents.end(), [&](const FlowCandidate &candidate) { return candidate.agent == agent; });
+}
+
+/// Appends targets to a plan in the order in which the flow's hash ranks them. Of several entries on one VM the first one counts, since
+/// they have the same agent.
+void appendRanked(SearchPlan &plan, std::span<const TargetRecord *const> targets, const FlowKey &flow, bool isRelated)
 {
     std::vector<std::uint64_t> ids;
     ids.reserve(targets.size());
-    for (const auto *target : targets)
-        ids.push_back(target->id);
-    for (const auto index : rendezvousRank(ids, hashOf(flow), ids.size()))
-        plan.agents.push_back({targets[index]->agent, targets[index]->service, {}, isRelated});
+    for (const auto *record : targets)
+        ids.push_back(record->published.id);
+    for (const auto index : rendezvousRank(ids, hashOf(flow), ids.size())) {
+        const auto &record = *targets[index];
+        const auto &target = record.published;
+        if (!record.sharesVm || !isPlanned(plan, target.agent))
+            plan.agents.push_back({target.agent, target.service, {}, isRelated});
+    }
 }
 
 } // namespace
@@ -50,19 +60,19 @@
     const auto route = entry.routes.routes.find(flow.service);
     const auto services = route == entry.routes.routes.end() ? std::vector<ServiceId> {} : servicesForFlow(route->second, flow);
     const bool hasAllFormerServices = now - entry.startedAt >= entry.limits.maximumFlowAge;
-    std::vector<const PublishedTarget *> likely;
-    std::vector<const PublishedTarget *> related;
-    std::vector<const PublishedTarget *> unrelated;
+    std::vector<const TargetRecord *> likely;
+    std::vector<const TargetRecord *> related;
+    std::vector<const TargetRecord *> unrelated;
     for (const auto &[id, record] : entry.directory.targets) {
         const auto &target = record.published;
         if (isTerminated(entry.directory, record, now))
             continue;
         if (!services.empty() && target.service == services.front())
-            likely.push_back(&target);
+            likely.push_back(&record);
         else if (hasServedAddress(entry, flow.service, target.service))
-            related.push_back(&target);
+            related.push_back(&record);
         else if (!hasAllFormerServices && !wasListedAfterRoutes(entry, record))
-            unrelated.push_back(&target);
+            unrelated.push_back(&record);
     }
     SearchPlan plan;
     plan.isComplete = unrelated.size() <= entry.limits.maximumUnrelatedAgents;
--- a/Libraries/LibCoordination/TargetChoice.cpp
+++ b/Libraries/LibCoordination/TargetChoice.cpp
@@ -1,6 +1,7 @@
 #include "LibCoordination/TargetChoice.h"
 
 #include "LibCoordination/RendezvousHash.h"
+#include "LibCoordination/VmEntries.h"
 
 #include <algorithm>
 
@@ -24,9 +25,10 @@
     std::vector<TargetRecord *> suspects;
     const bool isPropagationRequired = isMostlyPropagated(directory, service, now);
     for (auto &[id, record] : directory.targets) {
-        if (record.published.service != service || isExcluded(record, excluded) || !mayTakeNewFlows(record, now))
+        if (record.published.service != service || isExcluded(record, excluded) || !isPlaceable(directory, record, now))
             continue;
-        const bool isSuspect = record.suspectUntil > now || record.load.state != TargetState::Answering || isUnreachable(directory, record);
+        const bool isSuspect = record.suspectUntil > now || record.isDisownedByAgent || record.load.state != TargetState::Answering
+                               || isUnreachable(directory, record);
         const bool isDeferred = isPropagationRequired && record.propagatedAt > now;
         if (isSuspect)
             suspects.push_back(&record);
--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -1,6 +1,9 @@
 #include "LibCoordination/TargetDirectory.h"
 
+#include "LibCoordination/VmEntries.h"
+
 #include <algorithm>
+#include <string>
 #include <tuple>
 #include <utility>
 
@@ -26,26 +29,59 @@
     return record;
 }
 
-/// Returns whether `next` replaces another target on the same VM.
-bool replacesAnother(const TargetDirectory &directory, const PublishedTarget &next)
+/// Marks the entries at an agent's address as sharing their VM or not.
+void updateSharing(TargetDirectory &directory, const Endpoint &agent)
 {
-    const auto existing = directory.targetOfAgent.find(next.agent);
-    return existing != directory.targetOfAgent.end() && existing->second != next.id;
+    const auto &entries = directory.targetsOfAgent.at(agent);
+    for (const auto id : entries)
+        directory.targets.at(id).sharesVm = entries.size() > 1;
 }
 
-/// Returns whether the directory has another target on the VM of `next` that is newer than `next`.
-bool isOlderThanSuccessor(const TargetDirectory &directory, const PublishedTarget &next, TimePoint now)
+/// Calls a function for each record at an agent's address.
+template <typename Function>
+void forEachAt(TargetDirectory &directory, const Endpoint &agent, Function function)
 {
-    const auto existing = directory.targetOfAgent.find(next.agent);
-    if (existing == directory.targetOfAgent.end() || existing->second == next.id)
-        return false;
-    const auto record = directory.targets.find(existing->second);
-    if (record == directory.targets.end())
-        return false;
-    const auto &known = record->second;
-    const bool isWithdrawn = known.withdrawnAt && (*known.withdrawnAt <= now || isLaterInSameEra(next.revision, known.published.revision));
-    // An entry without a start of the target is another writer's, or an older one.
-    return !isWithdrawn && known.published.incarnation > next.incarnation;
+    const auto entries = directory.targetsOfAgent.find(agent);
+    if (entries == directory.targetsOfAgent.end())
+        return;
+    for (const auto id : entries->second)
+        function(directory.targets.at(id));
+}
+
+/// Adds a record under its entry's id. The id has none yet.
+TargetRecord &insertRecord(TargetDirectory &directory, TargetRecord record)
+{
+    const auto id = record.published.id;
+    const auto agent = record.published.agent;
+    auto &inserted = directory.targets.insert_or_assign(id, std::move(record)).first->second;
+    directory.targetsOfAgent[agent].push_back(id);
+    updateSharing(directory, agent);
+    return inserted;
+}
+
+/// Removes the record of an id and returns it.
+TargetRecord extractRecord(TargetDirectory &directory, MemberId id)
+{
+    auto record = std::move(directory.targets.extract(id).mapped());
+    const auto entries = directory.targetsOfAgent.find(record.published.agent);
+    std::erase(entries->second, id);
+    if (entries->second.empty())
+        directory.targetsOfAgent.erase(entries);
+    else
+        updateSharing(directory, record.published.agent);
+    return record;
+}
+
+/// Returns the id under which the record of an entry's former VM and service is kept after the entry has changed one of them. It is the
+/// same at every entry daemon.
+MemberId formerId(const PublishedTarget &target)
+{
+    return hashOf("former/" + std::to_string(target.id) + "/" + toString(target.agent) + "/" + std::to_string(target.service));
+}
+
+bool isAtSameVm(const PublishedTarget &one, const PublishedTarget &other)
+{
+    return one.agent == other.agent && one.service == other.service;
 }
 
 /// Returns whether a publication is older than another one of the same target. Later revisions of one era are newer. The platform may
@@ -85,13 +121,16 @@
 /// another target of the same service at the same address inherits the time of the previous one.
 TimePoint propagationEnd(const TargetDirectory &directory, const PublishedTarget &next, TimePoint now)
 {
-    const auto fullDelayEnd = now + directory.limits.propagationTime;
-    const auto existing = directory.targetOfAgent.find(next.agent);
-    if (existing == directory.targetOfAgent.end())
-        return fullDelayEnd;
-    const auto former = directory.targets.find(existing->second);
-    const bool isSameService = former != directory.targets.end() && former->second.published.service == next.service;
-    return isSameService ? std::min(former->second.propagatedAt, fullDelayEnd) : fullDelayEnd;
+    auto end = now + directory.limits.propagationTime;
+    const auto entries = directory.targetsOfAgent.find(next.agent);
+    if (entries == directory.targetsOfAgent.end())
+        return end;
+    for (const auto id : entries->second) {
+        const auto &record = directory.targets.at(id);
+        if (record.published.service == next.service)
+            end = std::min(end, record.propagatedAt);
+    }
+    return end;
 }
 
 /// Returns whether an agent has left requests unanswered for a time, among them enough queries, according to the messages that
@@ -108,42 +147,20 @@
     return directory.messagesReadUntil - record.unanswered->since >= timeout;
 }
 
-} // namespace
-
-PublicationEffect applyPublished(TargetDirectory &directory, PublishedTarget target, TimePoint now)
+/// Updates the record of a target whose VM and service are as before.
+PublicationEffect updateTarget(TargetDirectory &directory, TargetRecord &record, PublishedTarget target, TimePoint now)
 {
-    const auto known = directory.targets.find(target.id);
-    if (known != directory.targets.end() && isOlderPublication(target, known->second.published)) {
-        confirmListing(known->second, target);
-        return PublicationEffect::Unchanged;
-    }
-    if (isOlderThanSuccessor(directory, target, now))
-        return PublicationEffect::Unchanged;
     const auto propagatedAt = propagationEnd(directory, target, now);
-    const bool isReplacing = replacesAnother(directory, target);
-    if (isReplacing) {
-        const auto former = directory.targets.find(directory.targetOfAgent[target.agent]);
-        if (former != directory.targets.end())
-            directory.targets.erase(former);
-    }
-    directory.targetOfAgent[target.agent] = target.id;
-    const auto existing = directory.targets.find(target.id);
-    if (existing == directory.targets.end()) {
-        auto record = makeRecord(target, now);
-        record.propagatedAt = propagatedAt;
-        directory.targets.emplace(target.id, std::move(record));
-        return isReplacing ? PublicationEffect::Replaced : PublicationEffect::Added;
-    }
-    auto &record = existing->second;
     const bool hasSameIncarnation = isSameIncarnation(record.published, target);
     // An entry that expired and was written again has a new listing revision, although flows may have led to the target before.
     if (hasSameIncarnation)
         target.listingRevision = earlierRevision(record.published.listingRevision, target.listingRevision);
     const bool isUnchanged = record.published == target && !record.withdrawnAt;
     if (!hasSameIncarnation) {
-        const auto lastMessageAt = record.lastMessageAt;
-        record = makeRecord(target, now);
-        record.lastMessageAt = lastMessageAt;
+        auto next = makeRecord(target, now);
+        next.lastMessageAt = record.lastMessageAt;
+        next.sharesVm = record.sharesVm;
+        record = std::move(next);
     }
     record.coldUntil = now + target.coldTime;
     record.published = std::move(target);
@@ -154,6 +171,53 @@
     return hasSameIncarnation ? PublicationEffect::Updated : PublicationEffect::Replaced;
 }
 
+/// Adds the record of an entry that is read for the first time, or again on a VM and for a service that it had before.
+PublicationEffect addTarget(TargetDirectory &directory, PublishedTarget target, TimePoint now)
+{
+    if (directory.targets.contains(formerId(target))) {
+        auto former = extractRecord(directory, formerId(target));
+        former.published.id = target.id;
+        return updateTarget(directory, insertRecord(directory, std::move(former)), std::move(target), now);
+    }
+    auto record = makeRecord(target, now);
+    record.propagatedAt = propagationEnd(directory, target, now);
+    const auto *other = findByAgent(std::as_const(directory), target.agent);
+    const bool isVmKnown = other != nullptr;
+    if (isVmKnown)
+        record.unanswered = other->unanswered;
+    insertRecord(directory, std::move(record));
+    return isVmKnown ? PublicationEffect::Replaced : PublicationEffect::Added;
+}
+
+/// Keeps the record of the VM and service that an entry named before it changed one of them, as withdrawn: the target there may still hold
+/// flows, also if the change is another writer's.
+void keepFormer(TargetDirectory &directory, TargetRecord record, TimePoint now)
+{
+    record.published.id = formerId(record.published);
+    if (directory.targets.contains(record.published.id))
+        (void)extractRecord(directory, record.published.id);
+    record.withdrawnAt = std::min(record.withdrawnAt.value_or(now), now);
+    insertRecord(directory, std::move(record));
+}
+
+} // namespace
+
+PublicationEffect applyPublished(TargetDirectory &directory, PublishedTarget target, TimePoint now)
+{
+    const auto known = directory.targets.find(target.id);
+    if (known == directory.targets.end())
+        return addTarget(directory, std::move(target), now);
+    auto &record = known->second;
+    if (isOlderPublication(target, record.published)) {
+        confirmListing(record, target);
+        return PublicationEffect::Unchanged;
+    }
+    if (isAtSameVm(record.published, target))
+        return updateTarget(directory, record, std::move(target), now);
+    keepFormer(directory, extractRecord(directory, target.id), now);
+    return addTarget(directory, std::move(target), now);
+}
+
 bool applyWithdrawn(TargetDirectory &directory, MemberId target, TimePoint withdrawnAt)
 {
     const auto existing = directory.targets.find(target);
@@ -176,7 +240,7 @@
     std::size_t propagated = 0;
     std::size_t total = 0;
     for (const auto &[id, record] : directory.targets) {
-        if (record.published.service != service || !mayTakeNewFlows(record, now))
+        if (record.published.service != service || !isPlaceable(directory, record, now))
             continue;
         ++total;
         propagated += record.propagatedAt <= now ? 1 : 0;
@@ -192,32 +256,34 @@
 
 void applyLoad(TargetDirectory &directory, const Endpoint &agent, ServiceId service, const TargetLoad &load, TimePoint now)
 {
-    auto *record = findByAgent(directory, agent);
-    if (record == nullptr)
-        return;
-    record->unanswered.reset();
-    if (record->published.service != service)
-        return;
-    record->load = load;
-    record->lastMessageAt = now;
-    record->placedSinceReport = 0;
+    forEachAt(directory, agent, [&](TargetRecord &record) {
+        record.unanswered.reset();
+        record.isDisownedByAgent = record.published.service != service;
+        if (record.isDisownedByAgent)
+            return;
+        record.load = load;
+        record.lastMessageAt = now;
+        record.placedSinceReport = 0;
+    });
 }
 
 void startAnswerTimeout(TargetDirectory &directory, const Endpoint &agent, TimePoint now)
 {
-    auto *record = findByAgent(directory, agent);
-    if (record != nullptr && !record->unanswered)
-        record->unanswered = {now, 0, {}};
+    forEachAt(directory, agent, [&](TargetRecord &record) {
+        if (!record.unanswered)
+            record.unanswered = {now, 0, {}};
+    });
 }
 
 void recordQuery(TargetDirectory &directory, const Endpoint &agent, TimePoint now)
 {
     startAnswerTimeout(directory, agent, now);
-    auto *record = findByAgent(directory, agent);
-    if (record == nullptr || !isQueryDue(directory, *record, now))
-        return;
-    ++record->unanswered->queryCount;
-    record->unanswered->lastQueryAt = now;
+    forEachAt(directory, agent, [&](TargetRecord &record) {
+        if (!isQueryDue(directory, record, now))
+            return;
+        ++record.unanswered->queryCount;
+        record.unanswered->lastQueryAt = now;
+    });
 }
 
 bool isQueryDue(const TargetDirectory &directory, const TargetRecord &record, TimePoint now)
@@ -242,35 +308,21 @@
 
 void markSuspect(TargetDirectory &directory, const Endpoint &agent, TimePoint now)
 {
-    auto *record = findByAgent(directory, agent);
-    if (record == nullptr || record->suspectUntil > now)
-        return;
-    const auto suspicionTime = directory.limits.initialSuspicionTime * (1 << std::min(record->suspicions, 4));
-    record->suspectUntil = now + std::min<Duration>(suspicionTime, directory.limits.maximumSuspicionTime);
-    ++record->suspicions;
+    forEachAt(directory, agent, [&](TargetRecord &record) {
+        if (record.suspectUntil > now)
+            return;
+        const auto suspicionTime = directory.limits.initialSuspicionTime * (1 << std::min(record.suspicions, 4));
+        record.suspectUntil = now + std::min<Duration>(suspicionTime, directory.limits.maximumSuspicionTime);
+        ++record.suspicions;
+    });
 }
 
 void clearSuspicion(TargetDirectory &directory, const Endpoint &agent)
 {
-    auto *record = findByAgent(directory, agent);
-    if (record == nullptr)
-        return;
-    record->suspectUntil = {};
-    record->suspicions = 0;
-}
-
-TargetRecord *findByAgent(TargetDirectory &directory, const Endpoint &agent)
-{
-    return const_cast<TargetRecord *>(findByAgent(std::as_const(directory), agent));
-}
-
-const TargetRecord *findByAgent(const TargetDirectory &directory, const Endpoint &agent)
-{
-    const auto target = directory.targetOfAgent.find(agent);
-    if (target == directory.targetOfAgent.end())
-        return nullptr;
-    const auto record = directory.targets.find(target->second);
-    return record == directory.targets.end() ? nullptr : &record->second;
+    forEachAt(directory, agent, [](TargetRecord &record) {
+        record.suspectUntil = {};
+        record.suspicions = 0;
+    });
 }
 
 bool isTerminated(const TargetDirectory &directory, const TargetRecord &record, TimePoint now)
@@ -278,22 +330,24 @@
     // A draining target whose port is closed does not start again. A new run would be published as a new incarnation.
     if (record.published.isDraining && record.load.state == TargetState::Closed)
         return true;
-    if (!record.withdrawnAt || now - *record.withdrawnAt < directory.limits.agentSilenceTimeout)
+    if (!record.withdrawnAt || *record.withdrawnAt > now)
+        return false;
+    if (record.isDisownedByAgent)
+        return true;
+    if (now - *record.withdrawnAt < directory.limits.agentSilenceTimeout)
         return false;
     return record.load.state == TargetState::Closed || hasLeftUnanswered(directory, record, directory.limits.agentSilenceTimeout);
 }
 
 void removeWithdrawn(TargetDirectory &directory, TimePoint now)
 {
-    for (auto record = directory.targets.begin(); record != directory.targets.end();) {
-        const auto current = record++;
-        if (!current->second.withdrawnAt || now - *current->second.withdrawnAt < directory.limits.withdrawnTargetRetention)
-            continue;
-        const auto agent = directory.targetOfAgent.find(current->second.published.agent);
-        if (agent != directory.targetOfAgent.end() && agent->second == current->first)
-            directory.targetOfAgent.erase(agent);
-        directory.targets.erase(current);
+    std::vector<MemberId> expired;
+    for (const auto &[id, record] : directory.targets) {
+        if (record.withdrawnAt && now - *record.withdrawnAt >= directory.limits.withdrawnTargetRetention)
+            expired.push_back(id);
     }
+    for (const auto id : expired)
+        (void)extractRecord(directory, id);
 }
 
 } // namespace Papaya
--- a/Libraries/LibCoordination/TargetDirectory.h
+++ b/Libraries/LibCoordination/TargetDirectory.h
@@ -74,6 +74,10 @@
     /// When the platform's withdrawal of the target takes effect. From then on it gets no new flows, but it may still hold old
     /// ones. The time is in the future while the platform may list the target again.
     std::optional<TimePoint> withdrawnAt;
+    /// Whether the directory has other entries with the same agent address.
+    bool sharesVm = false;
+    /// Whether the agent's last message named another service than this entry, so that the VM's target is another one.
+    bool isDisownedByAgent = false;
 };
 
 /// Timeouts for targets and their agents.
@@ -103,12 +107,15 @@
     int minimumUnansweredQueries = 5;
 };
 
-/// The targets that one entry daemon has read.
+/// The targets that one entry daemon has read. There is a record for each entry that the platform lists, and for each one that was
+/// withdrawn lately. No entry changes the record of another one, whatever it says: which of the entries on one VM describes the VM's target
+/// is decided where that matters (see VmEntries.h).
 struct TargetDirectory {
     DirectoryLimits limits;
     std::unordered_map<MemberId, TargetRecord> targets;
-    /// The target at each agent's address: the one that was published last.
-    std::unordered_map<Endpoint, MemberId> targetOfAgent;
+    /// The entries at each agent's address. A VM has one target, but the entries of former targets and of other writers may name its
+    /// address as well.
+    std::unordered_map<Endpoint, std::vector<MemberId>> targetsOfAgent;
     /// All messages of agents that arrived before this time have been applied to the records.
     TimePoint messagesReadUntil;
 };
@@ -118,12 +125,12 @@
     Unchanged,
     Added,
     Updated,
-    /// The same VM now runs another incarnation of the target, or another target: the flows of the previous one are lost.
+    /// The VM now runs another incarnation of the target, or another entry names the VM: the flows of the previous one may be lost.
     Replaced,
 };
 
-/// Adds or updates a target that the platform published. A publication that is older than the known one of the same target, or than
-/// another target on its VM, changes nothing but the target's withdrawal.
+/// Adds or updates a target that the platform published. A publication that is older than the known one of the same target changes nothing
+/// but the target's withdrawal. If the target's VM or service has changed, the record of the former ones is kept as withdrawn.
 PublicationEffect applyPublished(TargetDirectory &directory, PublishedTarget target, TimePoint now);
 
 /// Records that the platform no longer lists a target, with effect from `withdrawnAt`. Returns false if the target is not in the
@@ -138,7 +145,7 @@
 /// the others get no new flows, so that no flow is at a target that another entry daemon has not read.
 [[nodiscard]] bool isMostlyPropagated(const TargetDirectory &directory, ServiceId service, TimePoint now);
 
-/// Returns whether a target accepts new flows: it is neither draining nor withdrawn.
+/// Returns whether a target accepts new flows according to its own entry: it is neither draining nor withdrawn.
 [[nodiscard]] bool mayTakeNewFlows(const TargetRecord &record, TimePoint now);
 
 /// Applies the load of a target from any message of its agent, and ends the agent's answer timeout. The load is ignored if the
@@ -167,12 +174,9 @@
 /// Records that a target answered a new flow, and ends the suspicion.
 void clearSuspicion(TargetDirectory &directory, const Endpoint &agent);
 
-/// Returns the record of the target at an agent's address, or nothing.
-[[nodiscard]] TargetRecord *findByAgent(TargetDirectory &directory, const Endpoint &agent);
-[[nodiscard]] const TargetRecord *findByAgent(const TargetDirectory &directory, const Endpoint &agent);
-
-/// Returns whether a target has certainly terminated, and all its flows with it: it drains and its port is closed, or it was
-/// withdrawn some time ago and its port is closed or its agent does not answer either.
+/// Returns whether a target has certainly terminated, and all its flows with it: it drains and its port is closed, or it was withdrawn and
+/// its agent relays to a target of another service, or it was withdrawn some time ago and its port is closed or its agent does not answer
+/// either.
 [[nodiscard]] bool isTerminated(const TargetDirectory &directory, const TargetRecord &record, TimePoint now);
 
 /// Removes targets that were withdrawn so long ago that none of their flows can still be open.
--- a/Libraries/LibEmulator/EmulatedEntry.cpp
+++ b/Libraries/LibEmulator/EmulatedEntry.cpp
@@ -1,6 +1,7 @@
 #include "LibEmulator/EmulatedEntry.h"
 
 #include "LibCoordination/EntrySearch.h"
+#include "LibCoordination/VmEntries.h"
 
 #include <set>
 
@@ -189,7 +190,8 @@
 
 void EmulatedEntry::subscribeTo(const PublishedTarget &target)
 {
-    sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}, 0, target.incarnation});
+    const auto incarnation = announcedIncarnation(m_relay.directory, target, m_events.now());
+    sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}, 0, incarnation});
 }
 
 void EmulatedEntry::onIteration()
--- a/Meta/papaya.sh
+++ b/Meta/papaya.sh
@@ -6,7 +6,7 @@
 build=${PAPAYA_BUILD:-$root/build}
 packages=(g++ cmake ninja-build clang-format clang-tidy curl
     libcaf-dev libabsl-dev libeasyloggingpp-dev libboost-dev libflatbuffers-dev libinih-dev
-    liblwip-dev libxxhash-dev nlohmann-json3-dev rapidjson-dev libcpp-httplib-dev libgtest-dev libbenchmark-dev)
+    liblwip-dev libxxhash-dev nlohmann-json3-dev rapidjson-dev libcpp-httplib-dev libgtest-dev libbenchmark-dev librapidcheck-dev)
 
 usage() {
     cat <<'USAGE'
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCoordination/EntrySearch.h"
 #include "LibCoordination/ListEvidence.h"
+#include "LibCoordination/VmEntries.h"
 #include "LibProtocol/KnowledgeCodec.h"
 #include "LibTransport/ExplainFlow.h"
 #include "LibTransport/MonotonicClock.h"
@@ -36,6 +37,10 @@
 constexpr KnowledgeFetchLimits OutageFetch {1, 60};
 /// How often the subscriptions to the agents' load reports are renewed.
 constexpr Duration SubscriptionInterval {2'000};
+/// How often the entries that are set aside are logged.
+constexpr Duration SetAsideLogInterval {1'000};
+/// Limit on the entries that an explanation lists as set aside.
+constexpr std::size_t MaximumExplainedEntries = 20;
 /// A stopping daemon keeps forwarding for this long. The platform's routers check its readiness twice a second and stop sending
 /// packets after two failed checks.
 constexpr Duration StopDelay {2'200};
@@ -82,6 +87,14 @@
         .with("draining", record.published.isDraining ? "true" : "false");
 }
 
+/// Returns the entries that an explanation lists as set aside.
+std::vector<SetAsideEntry> firstSetAside(const EntryRelay &entry, TimePoint now)
+{
+    auto entries = listSetAside(entry, now);
+    entries.resize(std::min(entries.size(), MaximumExplainedEntries));
+    return entries;
+}
+
 } // namespace
 
 RelayEntryTask::RelayEntryTask(caf::actor_config &config,
@@ -378,7 +391,8 @@
 
 void RelayEntryTask::subscribeTo(const PublishedTarget &target)
 {
-    sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}, 0, target.incarnation});
+    const auto incarnation = announcedIncarnation(m_relay.directory, target, currentTime());
+    sendToAgent(target.agent, {target.service, EnvelopePurpose::Subscribe, {}, 0, incarnation});
 }
 
 void RelayEntryTask::subscribeToAgents()
@@ -395,12 +409,20 @@
     logListEvidence(now);
     if (now - m_subscribedAt >= SubscriptionInterval)
         subscribeToAgents();
+    if (now - m_setAsideLoggedAt >= SetAsideLogInterval)
+        logSetAside(now);
     if (const auto suppressed = m_routineLogLimiter.takeSuppressed() + m_failureLogLimiter.takeSuppressed(); suppressed > 0)
         EventLog("flow_lines_suppressed").with("count", suppressed);
     if (m_stopAt && now >= *m_stopAt)
         m_isStopped = true;
 }
 
+void RelayEntryTask::logSetAside(TimePoint now)
+{
+    m_setAsideLoggedAt = now;
+    m_setAsideLog.update(listSetAside(m_relay, now), m_metrics);
+}
+
 void RelayEntryTask::logListEvidence(TimePoint now)
 {
     const auto evidence = listEvidence(m_relay, now);
@@ -450,6 +472,9 @@
         const auto route = m_relay.routes.routes.find(key.service);
         if (route != m_relay.routes.routes.end())
             answer["route"] = route->second.name;
+        for (const auto &entry : firstSetAside(m_relay, currentTime()))
+            answer["set_aside"].push_back(
+                {{"target", entry.name}, {"agent", toString(entry.agent)}, {"reason", setAsideReasonName(entry.reason)}});
     });
 }
 
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "SetAsideLog.h"
+
 #include "LibCoordination/EntryRelay.h"
 #include "LibProtocol/RelayCodec.h"
 #include "LibProtocol/RelaySettings.h"
@@ -56,6 +58,8 @@
     void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
     void onTick();
+    /// Logs and counts the entries of the platform that are set aside.
+    void logSetAside(TimePoint now);
     /// Logs once which evidence ended the wait for entries that may be missing from the list of targets.
     void logListEvidence(TimePoint now);
     [[nodiscard]] bool isReady() const;
@@ -76,6 +80,7 @@
     Metrics m_metrics;
     LogRateLimiter m_routineLogLimiter;
     LogRateLimiter m_failureLogLimiter;
+    SetAsideLog m_setAsideLog;
     std::array<std::uint64_t, RelayReasonCount> m_decisionCounts {};
     std::uint64_t m_packetCount = 0;
     bool m_isReadingCallers = false;
@@ -85,6 +90,7 @@
     bool m_isListSettled = false;
     TimePoint m_peersQueriedAt;
     TimePoint m_subscribedAt;
+    TimePoint m_setAsideLoggedAt;
     std::optional<TimePoint> m_stopAt;
     bool m_isStopped = false;
 };
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -4,10 +4,12 @@
 #include "LibCoordination/EntrySearch.h"
 #include "LibCoordination/ListEvidence.h"
 #include "LibCoordination/SearchPlan.h"
+#include "LibCoordination/VmEntries.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 /// Fixture and helpers for the tests of an entry daemon's decisions.
 namespace Papaya::EntryTest {
--- a/Tests/RelayWhole/TestRelayDaemons.cpp
+++ b/Tests/RelayWhole/TestRelayDaemons.cpp
@@ -293,6 +293,28 @@
     EXPECT_EQ(before, after);
 }
 
+// Guards against the reset of open flows after a planned stop of an entry daemon: entries that name an unknown service on the targets' VMs
+// erased the targets from the other entry daemons' directories.
+TEST_F(RelayDaemons, ForeignEntriesOnTargetVmsBreakNoFlow)
+{
+    openAll();
+    for (int target = 0; target < 5; ++target) {
+        const auto number = std::to_string(target + 1);
+        m_deployment.store().put("servers/node-metrics-" + number,
+                                 R"({"Service":"node-metrics","Address":"127.0.2.)" + number
+                                     + R"(:9100","Zone":"a","Slots":4,"State":"ready","ColdLeftMs":0,"born":2})");
+    }
+    // Longer than the pause between two watches, and than a list is unsettled after a start.
+    std::this_thread::sleep_for(Duration(3'000));
+    m_deployment.signal("entry-0", SIGTERM);
+    m_callers.setRotation({"entry-1", "entry-2"});
+    requestOnAllFlows("after-");
+    EXPECT_TRUE(m_callers.open("ledger", FirstPort + Flows));
+    const auto metrics = m_deployment.readOperatorEndpoint("entry-1", "/metrics");
+    EXPECT_NE(metrics.find("entries_set_aside_total{reason=\"unrouted_service\"} 5"), std::string::npos) << metrics;
+    m_deployment.waitForExit("entry-0");
+}
+
 TEST_F(RelayDaemons, UnknownAddressIsResetImmediately)
 {
     const auto startedAt = currentTime();
