EntrySearch: Count a denial for the service that the agent was asked for

Callers: a reset of an open flow. Cause: an agent denies all flows when it is asked for another service than its target's, and the denial counted for every service. If the agent was first listed by another writer's entry only, it was not asked again once the target's own entry was read. Change: a denial names the service that was asked for. Evidence: AgentIsAskedAgainForServiceOfTargetThatIsReadLater fails on (the last query names the other service, no query for the target's) and passes now.

--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -113,6 +113,13 @@
     bool isBusy = false;
 };
 
+/// An agent's answer that its target does not hold a flow.
+struct FlowDenial {
+    Endpoint agent;
+    /// The service whose target the agent was asked for. An agent whose target has another service denies all flows of this one.
+    ServiceId service = 0;
+};
+
 /// The stage of a flow at an entry daemon.
 enum class EntryFlowStage : std::uint8_t {
     /// The caller has not completed a handshake.
@@ -147,7 +154,7 @@
     std::vector<FlowCandidate> candidates;
     /// While searching: the agents that reported that their target does not hold the flow. A denial stays valid during the
     /// search, since only a SYN opens the flow at another target.
-    std::vector<Endpoint> deniedBy;
+    std::vector<FlowDenial> deniedBy;
     /// When the last probe of the flow was sent.
     std::optional<TimePoint> probedAt;
     /// While searching: when the last of the buffered packets was received.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -18,9 +18,12 @@
     return std::any_of(candidates.begin(), candidates.end(), [&](const FlowCandidate &candidate) { return candidate.agent == agent; });
 }
 
-bool hasDenied(const EntryFlow &flow, const Endpoint &agent)
+/// Returns whether an agent has denied the flow when it was asked for its target of this service.
+bool hasDenied(const EntryFlow &flow, const FlowCandidate &candidate)
 {
-    return std::find(flow.deniedBy.begin(), flow.deniedBy.end(), agent) != flow.deniedBy.end();
+    return std::any_of(flow.deniedBy.begin(), flow.deniedBy.end(), [&](const FlowDenial &denial) {
+        return denial.agent == candidate.agent && denial.service == candidate.service;
+    });
 }
 
 /// Takes the bytes of a message of this size and its headers from the bandwidth that searches may use. Returns whether enough
@@ -123,7 +126,7 @@
 {
     std::vector<FlowCandidate> agents;
     for (const auto &agent : plan.agents) {
-        if (!isAmong(flow.candidates, agent.agent) && !hasDenied(flow, agent.agent))
+        if (!isAmong(flow.candidates, agent.agent) && !hasDenied(flow, agent))
             agents.push_back(agent);
     }
     return agents;
@@ -345,9 +348,12 @@
 {
     if (flow.stage != EntryFlowStage::Searching)
         return;
-    if (std::erase_if(flow.candidates, [&](const FlowCandidate &candidate) { return candidate.agent == agent; }) == 0)
+    const auto asked = std::find_if(
+        flow.candidates.begin(), flow.candidates.end(), [&](const FlowCandidate &candidate) { return candidate.agent == agent; });
+    if (asked == flow.candidates.end())
         return;
-    flow.deniedBy.push_back(agent);
+    flow.deniedBy.push_back({agent, asked->service});
+    flow.candidates.erase(asked);
     continueRound(entry, key, flow, now, output);
 }
 
--- a/Tests/LibCoordination/TestForeignEntries.cpp
+++ b/Tests/LibCoordination/TestForeignEntries.cpp
@@ -237,6 +237,28 @@
     EXPECT_EQ(reasons, expected);
 }
 
+// Guards against a target that is not asked: its agent denied the flow when it was asked for the service of another writer's entry, and the
+// target's own entry was read only after that.
+TEST_F(ForeignEntries, AgentIsAskedAgainForServiceOfTargetThatIsReadLater)
+{
+    m_entry.startedAt = Start;
+    m_entry.watchStartedAt.reset();
+    publish(makeOwn(1));
+    publish(makeTarget(2, "node-metrics"));
+    receive(makeData(501), 2'000);
+    answer(agentOf(1), FlowVerdict::Denied, 2'002);
+    sendQueries(m_entry, at(2'020), m_output);
+    answer(agentOf(2), FlowVerdict::Denied, 2'022);
+    EXPECT_TRUE(m_output.resets.empty());
+    publish(makeOwn(2), 2'050);
+    markTargetsCurrent(m_entry, at(2'050));
+    retryPendingResets(m_entry, at(2'060), m_output);
+    sendQueries(m_entry, at(2'080), m_output);
+    EXPECT_TRUE(m_output.resets.empty());
+    EXPECT_EQ(m_output.queries.back().first, agentOf(2));
+    EXPECT_EQ(m_output.queries.back().second.service, hashOf("ledger"));
+}
+
 } // namespace
 
 } // namespace Papaya
