TargetDirectory: Ignore an earlier revision of the same era

A peer may still have an entry of another writer that the platform has replaced. Change: in one era the revision decides. An earlier one does not end a withdrawal. Evidence: EarlierRevisionOfSameEraIsIgnoredWithoutStart fails on (effect Updated), passes now.

--- a/Libraries/LibCoordination/TargetDirectory.cpp
+++ b/Libraries/LibCoordination/TargetDirectory.cpp
@@ -89,8 +89,10 @@
 bool isOlderPublication(const PublishedTarget &next, const PublishedTarget &known)
 {
     const bool areRevisionsKnown = next.revision.number > 0 && known.revision.number > 0;
-    if (!areRevisionsKnown || isLaterInSameEra(next.revision, known.revision))
+    if (!areRevisionsKnown)
         return false;
+    if (next.revision.era == known.revision.era && next.revision.number != known.revision.number)
+        return next.revision.number < known.revision.number;
     if (next.incarnation == 0 || known.incarnation == 0)
         return false;
     if (next.incarnation != known.incarnation)
@@ -110,11 +112,12 @@
 /// revisions of that era are newer than the known publication.
 void confirmListing(TargetRecord &record, const PublishedTarget &older)
 {
-    record.withdrawnAt.reset();
-    if (older.revision.era > record.published.revision.era)
-        record.published.revision = older.revision;
     if (older.incarnation == record.published.incarnation)
         record.published.listingRevision = earlierRevision(record.published.listingRevision, older.listingRevision);
+    if (older.revision.era <= record.published.revision.era)
+        return;
+    record.withdrawnAt.reset();
+    record.published.revision = older.revision;
 }
 
 /// Returns when a target's address will have reached all entry daemons. Agents are found by their address, so a new run or
--- a/Tests/LibCoordination/TestOutdatedPublications.cpp
+++ b/Tests/LibCoordination/TestOutdatedPublications.cpp
@@ -112,6 +112,17 @@
     EXPECT_EQ(publish(makeTarget(1, 6'500, 1), {Era + 1, 41}, 3'000), PublicationEffect::Replaced);
 }
 
+// Guards against a peer's snapshot that changes what is known of a target to what another writer's entry said earlier.
+TEST_F(OutdatedPublications, EarlierRevisionOfSameEraIsIgnoredWithoutStart)
+{
+    publish(makeTarget(1, 1'000, 3), {Era, 60}, 0);
+    const auto published = record(1).published;
+    auto earlier = makeTarget(1, 0, 3);
+    earlier.isDraining = true;
+    EXPECT_EQ(publish(earlier, {Era, 50}, 1'000), PublicationEffect::Unchanged);
+    EXPECT_EQ(record(1).published, published);
+}
+
 // Guards against a target that stays withdrawn although the restored store lists it.
 TEST_F(OutdatedPublications, OutdatedEntryEndsWithdrawal)
 {
