LibTransport: Let no message end a task

Cause: a blocking actor leaves a message without a handler in its mailbox, and the loop that drains the mailbox never ended; an exception of a handler (explain with bytes that are not UTF-8) ended the main task. Change: drainMailbox() is the one place that reads messages; it answers those without a handler, and those whose handler throws, with an error. /knowledge is only served where the main task answers it; 404, 405 and 400 for what is not served or invalid. Result: the programs that terminate TCP have no LoopMonitor yet.

--- a/Libraries/LibTransport/ExplainFlow.cpp
+++ b/Libraries/LibTransport/ExplainFlow.cpp
@@ -11,7 +11,9 @@
         report["failure"] = Papaya::describe(flow.error());
     else
         describe(flow.value(), report);
-    return {report.dump()};
+    // Names come from the platform and may have any bytes. Without the replacement, dump() throws on those that are not UTF-8.
+    constexpr int WithoutIndentation = -1;
+    return {report.dump(WithoutIndentation, ' ', false, nlohmann::json::error_handler_t::replace)};
 }
 
 } // namespace Papaya
--- a/Libraries/LibTransport/OperatorHttpTask.cpp
+++ b/Libraries/LibTransport/OperatorHttpTask.cpp
@@ -49,9 +49,16 @@
     return response;
 }
 
-Response handleStatusRequest(caf::actor_system &system, const caf::actor &task, std::string_view path)
+/// What all connections of the server use.
+struct ServerContext {
+    caf::actor_system &system;
+    caf::actor mainTask;
+    OperatorOptions options;
+};
+
+Response handleStatusRequest(const ServerContext &context, std::string_view path)
 {
-    const auto status = requestFrom<StatusReport>(system, task, StatusRequest {});
+    const auto status = requestFrom<StatusReport>(context.system, context.mainTask, StatusRequest {});
     if (!status)
         return makeResponse(http::status::service_unavailable, "no answer\n", "text/plain");
     if (path == "/healthz")
@@ -60,13 +67,19 @@
         return makeResponse(http::status::ok, status->metricsText, "text/plain; version=0.0.4");
     if (path == "/status")
         return makeResponse(http::status::ok, status->statusJson, "application/json");
-    const auto readiness = status->isReady ? http::status::ok : http::status::service_unavailable;
-    return makeResponse(readiness, status->isReady ? "ready\n" : "not ready\n", "text/plain");
+    const auto &monitor = context.options.monitor;
+    const bool isTurning = monitor == nullptr || monitor->state() == LoopMonitor::State::Turning;
+    const bool isReady = status->isReady && isTurning;
+    const auto readiness = isReady ? http::status::ok : http::status::service_unavailable;
+    return makeResponse(readiness, isReady ? "ready\n" : "not ready\n", "text/plain");
 }
 
-Response handleKnowledgeRequest(caf::actor_system &system, const caf::actor &task, std::string_view requestTarget)
+Response handleKnowledgeRequest(const ServerContext &context, std::string_view requestTarget)
 {
-    auto report = requestFrom<KnowledgeReport>(system, task, KnowledgeRequest {decodeKnowledgePath(requestTarget)});
+    const auto digest = decodeKnowledgePath(requestTarget);
+    if (!digest && requestTarget != KnowledgePath)
+        return makeResponse(http::status::bad_request, "invalid digest\n", "text/plain");
+    auto report = requestFrom<KnowledgeReport>(context.system, context.mainTask, KnowledgeRequest {digest});
     if (!report || report->bytes.empty())
         return makeResponse(http::status::service_unavailable, "nothing known\n", "text/plain");
     return makeResponse(http::status::ok, std::move(report->bytes), "application/octet-stream");
@@ -87,28 +100,43 @@
     return decoded;
 }
 
-Response handleRequest(caf::actor_system &system, const caf::actor &task, std::string_view requestTarget)
+Response handleExplainRequest(const ServerContext &context, std::string_view encodedFlow)
 {
-    if (requestTarget == "/healthz" || requestTarget == "/readyz" || requestTarget == "/metrics" || requestTarget == "/status")
-        return handleStatusRequest(system, task, requestTarget);
-    if (requestTarget.starts_with(KnowledgePath))
-        return handleKnowledgeRequest(system, task, requestTarget);
-    if (!requestTarget.starts_with(ExplainQuery))
-        return makeResponse(http::status::not_found, "unknown path\n", "text/plain");
-    const auto report = requestFrom<ExplainReport>(system, task, ExplainRequest {decodeQuery(requestTarget.substr(ExplainQuery.size()))});
+    auto flow = decodeQuery(encodedFlow);
+    // Bytes that are no flow never reach the main task.
+    if (parseFlowKey(flow).has_error())
+        return makeResponse(http::status::bad_request, "invalid flow: CALLER_IP:PORT-SERVICE_IP:PORT expected\n", "text/plain");
+    const auto report = requestFrom<ExplainReport>(context.system, context.mainTask, ExplainRequest {std::move(flow)});
     if (!report)
         return makeResponse(http::status::service_unavailable, "no answer\n", "text/plain");
     return makeResponse(http::status::ok, report->json, "application/json");
 }
 
+bool isPathOrQuery(std::string_view requestTarget, std::string_view path)
+{
+    return requestTarget == path || (requestTarget.starts_with(path) && requestTarget[path.size()] == '?');
+}
+
+Response handleRequest(const ServerContext &context, http::verb method, std::string_view requestTarget)
+{
+    if (method != http::verb::get)
+        return makeResponse(http::status::method_not_allowed, "GET only\n", "text/plain");
+    if (requestTarget == "/healthz" || requestTarget == "/readyz" || requestTarget == "/metrics" || requestTarget == "/status")
+        return handleStatusRequest(context, requestTarget);
+    if (context.options.knowledge == KnowledgeService::Served && isPathOrQuery(requestTarget, KnowledgePath))
+        return handleKnowledgeRequest(context, requestTarget);
+    if (requestTarget.starts_with(ExplainQuery))
+        return handleExplainRequest(context, requestTarget.substr(ExplainQuery.size()));
+    return makeResponse(http::status::not_found, "unknown path\n", "text/plain");
+}
+
 /// One HTTP connection: reads one request, sends the response and closes.
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(Tcp::socket socket, caf::actor_system &system, caf::actor task)
+    Session(Tcp::socket socket, const ServerContext &context)
         : m_stream(std::move(socket))
-        , m_system(system)
-        , m_task(std::move(task))
+        , m_context(context)
     {
         m_parser.body_limit(RequestBodySizeLimit);
     }
@@ -126,7 +154,7 @@
     void respond()
     {
         const auto requestTarget = m_parser.get().target();
-        m_response = handleRequest(m_system, m_task, {requestTarget.data(), requestTarget.size()});
+        m_response = handleRequest(m_context, m_parser.get().method(), {requestTarget.data(), requestTarget.size()});
         http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code, std::size_t) {
             beast::error_code ignored;
             self->m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -137,26 +165,26 @@
     beast::flat_buffer m_buffer;
     http::request_parser<http::string_body> m_parser;
     Response m_response;
-    caf::actor_system &m_system;
-    caf::actor m_task;
+    const ServerContext &m_context;
 };
 
 /// Accepts connections until the process ends.
-void acceptNext(Tcp::acceptor &acceptor, caf::actor_system &system, const caf::actor &task)
+void acceptNext(Tcp::acceptor &acceptor, const ServerContext &context)
 {
     acceptor.async_accept([&](beast::error_code error, Tcp::socket socket) {
         if (!error)
-            std::make_shared<Session>(std::move(socket), system, task)->start();
-        acceptNext(acceptor, system, task);
+            std::make_shared<Session>(std::move(socket), context)->start();
+        acceptNext(acceptor, context);
     });
 }
 
 } // namespace
 
-OperatorHttpTask::OperatorHttpTask(caf::actor_config &config, Endpoint address, caf::actor mainTask)
+OperatorHttpTask::OperatorHttpTask(caf::actor_config &config, Endpoint address, caf::actor mainTask, OperatorOptions options)
     : caf::blocking_actor(config)
     , m_address(address)
     , m_mainTask(std::move(mainTask))
+    , m_options(std::move(options))
 {
 }
 
@@ -176,7 +204,8 @@
         EventLog("operators_listen_failed", LogLevel::Error).with("address", toString(m_address)).with("cause", error.message());
         return;
     }
-    acceptNext(acceptor, system(), m_mainTask);
+    const ServerContext server {system(), m_mainTask, m_options};
+    acceptNext(acceptor, server);
     context.run();
 }
 
--- a/Libraries/LibTransport/PeerTask.cpp
+++ b/Libraries/LibTransport/PeerTask.cpp
@@ -43,7 +43,7 @@
     send(m_controlState, SubscribeToControlState {this});
     while (!m_isStopped) {
         m_poll.wait(PollInterval, [&](std::uint64_t token) { token == ListenerToken ? acceptPeers() : pumpPeer(token); });
-        drainMailbox();
+        processMessages();
         const auto now = currentTime();
         if (now - m_connectAttemptedAt >= ReconnectInterval) {
             m_connectAttemptedAt = now;
@@ -54,24 +54,24 @@
     }
 }
 
-void PeerTask::drainMailbox()
+void PeerTask::processMessages()
 {
-    while (!mailbox().empty()) {
-        receive(
-            [&](const ConfigurationInForce &inForce) {
-                m_configuration = inForce;
-                sendDigestToAll();
-            },
-            [&](const VmListInForce &inForce) {
-                m_vmList = inForce;
-                m_history.add(*inForce.list);
-                m_peerAddresses.clear();
-                for (const auto &machine : selectPeers(inForce.list->machines, m_self, PeerLimits {}))
-                    m_peerAddresses.push_back(machine.daemon);
-                sendDigestToAll();
-            },
-            [&](Stop) { m_isStopped = true; });
-    }
+    drainMailbox(
+        *this,
+        m_messageGuard,
+        [&](const ConfigurationInForce &inForce) {
+            m_configuration = inForce;
+            sendDigestToAll();
+        },
+        [&](const VmListInForce &inForce) {
+            m_vmList = inForce;
+            m_history.add(*inForce.list);
+            m_peerAddresses.clear();
+            for (const auto &machine : selectPeers(inForce.list->machines, m_self, PeerLimits {}))
+                m_peerAddresses.push_back(machine.daemon);
+            sendDigestToAll();
+        },
+        [&](Stop) { m_isStopped = true; });
 }
 
 void PeerTask::acceptPeers()
--- a/Libraries/LibTransport/PeerTask.h
+++ b/Libraries/LibTransport/PeerTask.h
@@ -5,6 +5,7 @@
 #include "LibTransport/DaemonMessages.h"
 #include "LibTransport/EventPoll.h"
 #include "LibTransport/FrameChannel.h"
+#include "LibTransport/MessageGuard.h"
 
 #include <map>
 #include <memory>
@@ -31,7 +32,7 @@
         bool hasReceivedFrame = false;
     };
 
-    void drainMailbox();
+    void processMessages();
     void acceptPeers();
     void connectPeers();
     void addPeer(FileDescriptor stream, std::optional<Endpoint> address);
@@ -62,6 +63,7 @@
     TimePoint m_digestSentAt;
     TimePoint m_syncRequestedAt;
     bool m_isStopped = false;
+    MessageGuard m_messageGuard;
 };
 
 } // namespace Papaya
--- a/Libraries/LibTransport/RelayProgram.cpp
+++ b/Libraries/LibTransport/RelayProgram.cpp
@@ -93,14 +93,26 @@
     std::string m_text;
 };
 
+/// Ends the process if its main task no longer turns, so that the supervisor starts it again.
+void endIfDead(LoopMonitor &monitor)
+{
+    const auto previous = monitor.state();
+    const auto state = monitor.poll();
+    if (state != previous && state != LoopMonitor::State::Turning)
+        EventLog("main_task_stalled", LogLevel::Error).with("ends", state == LoopMonitor::State::Dead ? "true" : "false");
+    if (state == LoopMonitor::State::Dead)
+        exitProcess(EXIT_FAILURE);
+}
+
 [[noreturn]] void
 runRelay(caf::actor_system &system, const ProgramFlags &flags, const RelaySettings &settings, const RelayDescription &description)
 {
     caf::scoped_actor self(system);
     const auto timer = system.spawn<TimerTask>();
-    const auto mainTask = description.spawnMainTask(system, settings, caf::actor(self));
+    const auto monitor = std::make_shared<LoopMonitor>();
+    const auto mainTask = description.spawnMainTask(system, settings, {caf::actor(self), monitor});
     self->send(timer, SubscribeToTicks {mainTask, description.tickInterval});
-    system.spawn<OperatorHttpTask, caf::detached>(settings.operators, mainTask);
+    system.spawn<OperatorHttpTask, caf::detached>(settings.operators, mainTask, OperatorOptions {description.knowledge, monitor});
     EventLog("daemon_started").with("program", description.program).with("name", settings.name).with("daemon", toString(settings.daemon));
 
     SettingsWatcher watcher(flags.settingsPath, description.role, settings);
@@ -121,6 +133,7 @@
                 self->send(mainTask, RelaySettingsChanged {std::move(*changed)});
         }
         self->receive([&](Stopped) { isStopped = true; }, caf::after(SignalPollInterval) >> [] {});
+        endIfDead(*monitor);
     }
     EventLog("daemon_stopped").with("name", settings.name).with("graceful", isStopped ? "true" : "false");
     // Some tasks are blocked in calls whose results are no longer needed, so the process exits without joining them.
--- a/Libraries/LibTransport/RelayProgram.h
+++ b/Libraries/LibTransport/RelayProgram.h
@@ -2,8 +2,11 @@
 
 #include "LibProtocol/RelaySettings.h"
 #include "LibTransport/DaemonMessages.h"
+#include "LibTransport/LoopMonitor.h"
+#include "LibTransport/OperatorHttpTask.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace Papaya {
@@ -13,6 +16,14 @@
     RelaySettings settings;
 };
 
+/// What the main task of a relaying daemon gets from its program.
+struct RelayProgramParts {
+    /// The actor to which the main task sends Stopped.
+    caf::actor actor;
+    /// Records each turn of the main task's loop.
+    std::shared_ptr<LoopMonitor> monitor;
+};
+
 /// The parts of a relaying daemon's program that differ between entry daemon and agent.
 struct RelayDescription {
     /// The name of the program, shown by --version.
@@ -22,8 +33,10 @@
     RelayRole role = RelayRole::Entry;
     /// The interval at which the main task receives a Tick.
     Duration tickInterval {100};
-    /// Spawns the main task and the other tasks that only this program has. `program` is the actor to which the main task sends Stopped.
-    std::function<caf::actor(caf::actor_system &, const RelaySettings &, const caf::actor &program)> spawnMainTask;
+    /// Whether the main task answers a KnowledgeRequest.
+    KnowledgeService knowledge = KnowledgeService::None;
+    /// Spawns the main task and the other tasks that only this program has.
+    std::function<caf::actor(caf::actor_system &, const RelaySettings &, const RelayProgramParts &program)> spawnMainTask;
 };
 
 /// Reads a settings file. Logs each failure. Returns nothing if there was any failure.
--- a/Services/EntryDaemon/ForwardTask.cpp
+++ b/Services/EntryDaemon/ForwardTask.cpp
@@ -54,24 +54,25 @@
             else
                 m_daemonSocket.receive([&](std::span<const std::byte> datagram, const Endpoint &) { onDaemonDatagram(datagram); });
         });
-        drainMailbox();
+        processMessages();
     }
     send(m_program, Stopped {});
 }
 
-void ForwardTask::drainMailbox()
+void ForwardTask::processMessages()
 {
-    while (!mailbox().empty()) {
-        receive([&](Tick) { onTick(); },
-                [&](const ConfigurationInForce &inForce) {
-                    m_configuration = inForce.configuration;
-                    rebuildRoutingTable();
-                },
-                [&](const VmListInForce &inForce) { onVmList(*inForce.list); },
-                [&](StatusRequest) { return report(); },
-                [&](const ExplainRequest &request) { return explain(request.flow); },
-                [&](Stop) { m_stopAt = currentTime() + StopDelay; });
-    }
+    drainMailbox(
+        *this,
+        m_messageGuard,
+        [&](Tick) { onTick(); },
+        [&](const ConfigurationInForce &inForce) {
+            m_configuration = inForce.configuration;
+            rebuildRoutingTable();
+        },
+        [&](const VmListInForce &inForce) { onVmList(*inForce.list); },
+        answerRequest<StatusRequest>(m_messageGuard, [&](const StatusRequest &) { return report(); }),
+        answerRequest<ExplainRequest>(m_messageGuard, [&](const ExplainRequest &request) { return explain(request.flow); }),
+        [&](Stop) { m_stopAt = currentTime() + StopDelay; });
 }
 
 void ForwardTask::onFabricPacket(std::span<const std::byte> packet)
--- a/Services/EntryDaemon/ForwardTask.h
+++ b/Services/EntryDaemon/ForwardTask.h
@@ -8,6 +8,7 @@
 #include "LibTransport/DatagramSocket.h"
 #include "LibTransport/EventLog.h"
 #include "LibTransport/EventPoll.h"
+#include "LibTransport/MessageGuard.h"
 
 #include <optional>
 
@@ -24,7 +25,7 @@
     void act() override;
 
 private:
-    void drainMailbox();
+    void processMessages();
     void onFabricPacket(std::span<const std::byte> packet);
     void onDaemonDatagram(std::span<const std::byte> datagram);
     void onTick();
@@ -52,6 +53,7 @@
     std::array<std::uint64_t, 4> m_packetsByReason {};
     std::optional<TimePoint> m_stopAt;
     bool m_isStopped = false;
+    MessageGuard m_messageGuard;
 };
 
 } // namespace Papaya
--- a/Services/RelayAgent/RelayAgentTask.cpp
+++ b/Services/RelayAgent/RelayAgentTask.cpp
@@ -46,13 +46,14 @@
                                DatagramSocket daemon,
                                DatagramSocket outbound,
                                ConnectedDatagramSocket target,
-                               caf::actor program)
+                               RelayProgramParts program)
     : caf::blocking_actor(config)
     , m_settings(std::move(settings))
     , m_daemonSocket(std::move(daemon))
     , m_outboundSocket(std::move(outbound))
     , m_targetSocket(std::move(target))
-    , m_program(std::move(program))
+    , m_program(std::move(program.actor))
+    , m_monitor(std::move(program.monitor))
     , m_noticeLogLimiter(NoticeLinesPerSecond)
 {
     m_relay.service = hashOf(m_settings.service);
@@ -67,6 +68,7 @@
     m_poll.addReader(m_daemonSocket.descriptor(), DaemonToken);
     m_poll.addReader(m_outboundSocket.descriptor(), OutboundToken);
     while (!m_isStopped) {
+        m_monitor->recordTurn();
         m_poll.wait(PollTimeout, [&](std::uint64_t token) {
             if (token == DaemonToken)
                 m_daemonSocket.receive(
@@ -74,7 +76,7 @@
             else
                 m_outboundSocket.receive([&](std::span<const std::byte> packet, const Endpoint &) { handleTargetPacket(packet); });
         });
-        drainMailbox();
+        processMessages();
         continueStop();
         m_outboundSocket.flush();
         m_daemonSocket.flush();
@@ -82,17 +84,19 @@
     send(m_program, Stopped {});
 }
 
-void RelayAgentTask::drainMailbox()
+void RelayAgentTask::processMessages()
 {
-    while (!mailbox().empty()) {
-        receive([&](Tick) { onTick(); },
-                [&](const RelaySettingsChanged &changed) { applySettings(changed.settings); },
-                [&](StatusRequest) { return report(); },
-                [&](const ExplainRequest &request) {
-                    return ExplainReport {nlohmann::json({{"flow", request.flow}}).dump()};
-                },
-                [&](Stop) { onStop(); });
-    }
+    drainMailbox(
+        *this,
+        m_messageGuard,
+        [&](Tick) { onTick(); },
+        [&](const RelaySettingsChanged &changed) { applySettings(changed.settings); },
+        answerRequest<StatusRequest>(m_messageGuard, [&](const StatusRequest &) { return report(); }),
+        answerRequest<ExplainRequest>(m_messageGuard,
+                                      [&](const ExplainRequest &request) {
+                                          return ExplainReport {nlohmann::json({{"flow", request.flow}}).dump()};
+                                      }),
+        [&](Stop) { onStop(); });
 }
 
 void RelayAgentTask::onStop()
@@ -251,6 +255,7 @@
 
 StatusReport RelayAgentTask::report()
 {
+    setMessageGauges(m_metrics, m_messageGuard);
     m_metrics.setGauge("flows", static_cast<double>(m_relay.load.openFlows));
     m_metrics.setGauge("running_requests", static_cast<double>(m_relay.load.runningRequests));
     m_metrics.setGauge("response_time_seconds", m_relay.load.responseTime / 1e6);
--- a/Services/RelayAgent/RelayAgentTask.h
+++ b/Services/RelayAgent/RelayAgentTask.h
@@ -8,6 +8,7 @@
 #include "LibTransport/DatagramSocket.h"
 #include "LibTransport/EventLog.h"
 #include "LibTransport/EventPoll.h"
+#include "LibTransport/MessageGuard.h"
 #include "LibTransport/RelayProgram.h"
 
 #include <array>
@@ -25,7 +26,7 @@
                    DatagramSocket daemon,
                    DatagramSocket outbound,
                    ConnectedDatagramSocket target,
-                   caf::actor program);
+                   RelayProgramParts program);
 
     void act() override;
 
@@ -35,7 +36,7 @@
     void sendNotice(const Endpoint &entry, const RelayNotice &notice) override;
     void sendReport(const Endpoint &entry, const RelayReport &report) override;
 
-    void drainMailbox();
+    void processMessages();
     void onStop();
     /// Takes the next step of a graceful stop, if there is one.
     void continueStop();
@@ -56,6 +57,8 @@
     DatagramSocket m_outboundSocket;
     ConnectedDatagramSocket m_targetSocket;
     caf::actor m_program;
+    std::shared_ptr<LoopMonitor> m_monitor;
+    MessageGuard m_messageGuard;
     EventPoll m_poll;
     RelayEncoder m_encoder;
     AgentRelay m_relay;
--- a/Services/RelayAgent/main.cpp
+++ b/Services/RelayAgent/main.cpp
@@ -8,7 +8,7 @@
     Papaya::exitProcess(EXIT_FAILURE);
 }
 
-caf::actor spawnAgentTask(caf::actor_system &system, const Papaya::RelaySettings &settings, const caf::actor &program)
+caf::actor spawnAgentTask(caf::actor_system &system, const Papaya::RelaySettings &settings, const Papaya::RelayProgramParts &program)
 {
     auto daemon = Papaya::DatagramSocket::bind(settings.daemon);
     if (daemon.has_error())
@@ -32,6 +32,7 @@
         "Forwards packets between entry daemons, callers and the target on this VM.\nUsage: papaya-relay-agentd --settings FILE",
         Papaya::RelayRole::Agent,
         Papaya::Duration(100),
+        Papaya::KnowledgeService::None,
         spawnAgentTask,
     };
     return Papaya::runRelayProgram(argc, argv, description);
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -101,12 +101,13 @@
                                RelaySettings settings,
                                DatagramSocket callers,
                                DatagramSocket daemon,
-                               caf::actor program)
+                               RelayProgramParts program)
     : caf::blocking_actor(config)
     , m_settings(std::move(settings))
     , m_callerSocket(std::move(callers))
     , m_daemonSocket(std::move(daemon))
-    , m_program(std::move(program))
+    , m_program(std::move(program.actor))
+    , m_monitor(std::move(program.monitor))
     , m_routineLogLimiter(RoutineLinesPerSecond)
     , m_failureLogLimiter(FailureLinesPerSecond)
 {
@@ -120,6 +121,7 @@
     m_relay.startIncarnation = wallClockTime();
     m_poll.addReader(m_daemonSocket.descriptor(), DaemonToken);
     while (!m_isStopped) {
+        m_monitor->recordTurn();
         const auto startedAt = currentTime();
         bool arePacketsWaiting = false;
         bool areDatagramsWaiting = false;
@@ -130,7 +132,7 @@
             markAgentMessagesRead(m_relay, startedAt);
         if (arePacketsWaiting)
             readCallerPackets();
-        drainMailbox();
+        processMessages();
         sendQueries(m_relay, currentTime(), *this);
         m_daemonSocket.flush();
         m_callerSocket.flush();
@@ -219,36 +221,38 @@
         subscribeToAgents();
 }
 
-void RelayEntryTask::drainMailbox()
-{
-    while (!mailbox().empty()) {
-        receive([&](Tick) { onTick(); },
-                [&](const RoutesReceived &received) { applyRoutes(received); },
-                [&](const TargetsListed &listed) { applyTargetList(listed); },
-                [&](const TargetsCurrent &current) {
-                    m_storeTask = current_sender();
-                    m_isRefreshPending = false;
-                    markTargetsCurrent(m_relay, current.asOf);
-                    retryPendingResets(m_relay, currentTime(), *this);
-                },
-                [&](PlatformReachable) { markPlatformReachable(m_relay, currentTime()); },
-                [&](const WatchStateChanged &changed) { m_relay.watchStartedAt = changed.watchStartedAt; },
-                [&](const TargetPublished &published) { applyPublishedTarget(published.target); },
-                [&](const TargetWithdrawn &withdrawn) { withdrawTarget(withdrawn.target, withdrawn.grace); },
-                [&](const RelaySettingsChanged &) { EventLog("settings_changed").with("applied", "at_next_start"); },
-                [&](const PeerKnowledge &peerKnowledge) { adoptPeerKnowledge(peerKnowledge); },
-                [&](PeersQueried) {
-                    m_isQueryingPeers = false;
-                    finishPeerQueries(m_relay);
-                },
-                [&](const KnowledgeRequest &request) {
-                    const auto knowledge = answerKnowledgeRequest(m_relay, request.digest, currentTime());
-                    return KnowledgeReport {knowledge ? encodeKnowledge(*knowledge) : std::string {}};
-                },
-                [&](StatusRequest) { return report(); },
-                [&](const ExplainRequest &request) { return explain(request.flow); },
-                [&](Stop) { m_stopAt = currentTime() + StopDelay; });
-    }
+void RelayEntryTask::processMessages()
+{
+    drainMailbox(
+        *this,
+        m_messageGuard,
+        [&](Tick) { onTick(); },
+        [&](const RoutesReceived &received) { applyRoutes(received); },
+        [&](const TargetsListed &listed) { applyTargetList(listed); },
+        [&](const TargetsCurrent &current) {
+            m_storeTask = current_sender();
+            m_isRefreshPending = false;
+            markTargetsCurrent(m_relay, current.asOf);
+            retryPendingResets(m_relay, currentTime(), *this);
+        },
+        [&](PlatformReachable) { markPlatformReachable(m_relay, currentTime()); },
+        [&](const WatchStateChanged &changed) { m_relay.watchStartedAt = changed.watchStartedAt; },
+        [&](const TargetPublished &published) { applyPublishedTarget(published.target); },
+        [&](const TargetWithdrawn &withdrawn) { withdrawTarget(withdrawn.target, withdrawn.grace); },
+        [&](const RelaySettingsChanged &) { EventLog("settings_changed").with("applied", "at_next_start"); },
+        [&](const PeerKnowledge &peerKnowledge) { adoptPeerKnowledge(peerKnowledge); },
+        [&](PeersQueried) {
+            m_isQueryingPeers = false;
+            finishPeerQueries(m_relay);
+        },
+        answerRequest<KnowledgeRequest>(m_messageGuard,
+                                        [&](const KnowledgeRequest &request) {
+                                            const auto knowledge = answerKnowledgeRequest(m_relay, request.digest, currentTime());
+                                            return KnowledgeReport {knowledge ? encodeKnowledge(*knowledge) : std::string {}};
+                                        }),
+        answerRequest<StatusRequest>(m_messageGuard, [&](const StatusRequest &) { return report(); }),
+        answerRequest<ExplainRequest>(m_messageGuard, [&](const ExplainRequest &request) { return explain(request.flow); }),
+        [&](Stop) { m_stopAt = currentTime() + StopDelay; });
 }
 
 void RelayEntryTask::handleCallerPacket(std::span<const std::byte> packet)
@@ -445,6 +449,7 @@
     for (std::size_t reason = 0; reason < m_decisionCounts.size(); ++reason)
         m_metrics.count("flow_decisions", relayReasonName(static_cast<RelayReason>(reason)), std::exchange(m_decisionCounts[reason], 0));
     m_metrics.count("packets", "", std::exchange(m_packetCount, 0));
+    setMessageGauges(m_metrics, m_messageGuard);
     m_metrics.setGauge("flows", static_cast<double>(m_relay.flows.size()));
     m_metrics.setGauge("targets", static_cast<double>(m_relay.directory.targets.size()));
     m_metrics.setGauge("routes_version", static_cast<double>(m_relay.routes.version));
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -10,6 +10,7 @@
 #include "LibTransport/EventLog.h"
 #include "LibTransport/EventPoll.h"
 #include "LibTransport/KnowledgeFetchTask.h"
+#include "LibTransport/MessageGuard.h"
 #include "LibTransport/RelayProgram.h"
 #include "LibTransport/RelayUpdates.h"
 
@@ -23,7 +24,11 @@
 class RelayEntryTask : public caf::blocking_actor, private EntryOutput
 {
 public:
-    RelayEntryTask(caf::actor_config &config, RelaySettings settings, DatagramSocket callers, DatagramSocket daemon, caf::actor program);
+    RelayEntryTask(caf::actor_config &config,
+                   RelaySettings settings,
+                   DatagramSocket callers,
+                   DatagramSocket daemon,
+                   RelayProgramParts program);
 
     void act() override;
 
@@ -34,7 +39,7 @@
     void refreshTargets() override;
     void recordDecision(const FlowKey &flow, RelayReason reason, const Endpoint &agent) override;
 
-    void drainMailbox();
+    void processMessages();
     /// Reads what agents have sent until nothing is left, which the timeouts of agents depend on. Returns after a limited number of
     /// datagrams, so that a flood does not keep callers' packets from being read.
     void readAgentDatagrams();
@@ -70,6 +75,8 @@
     DatagramSocket m_callerSocket;
     DatagramSocket m_daemonSocket;
     caf::actor m_program;
+    std::shared_ptr<LoopMonitor> m_monitor;
+    MessageGuard m_messageGuard;
     /// The Platform::StoreTask, which watches the platform's store: the sender of the TargetsCurrent messages. Null until the first
     /// such message arrives.
     caf::strong_actor_ptr m_storeTask;
--- a/Services/RelayEntry/main.cpp
+++ b/Services/RelayEntry/main.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-caf::actor spawnEntryTask(caf::actor_system &system, const Papaya::RelaySettings &settings, const caf::actor &program)
+caf::actor spawnEntryTask(caf::actor_system &system, const Papaya::RelaySettings &settings, const Papaya::RelayProgramParts &program)
 {
     auto callers = Papaya::DatagramSocket::bind(settings.callers);
     auto daemon = Papaya::DatagramSocket::bind(settings.daemon);
@@ -30,6 +30,7 @@
         "Forwards callers' packets to the agents of the targets that hold the flows.\nUsage: papaya-relay-entryd --settings FILE",
         Papaya::RelayRole::Entry,
         Papaya::Duration(100),
+        Papaya::KnowledgeService::Served,
         spawnEntryTask,
     };
     return Papaya::runRelayProgram(argc, argv, description);
--- a/Services/TargetAgent/FlowTask.cpp
+++ b/Services/TargetAgent/FlowTask.cpp
@@ -76,7 +76,7 @@
         });
         const LwipLock lock;
         processStack();
-        drainMailbox();
+        processMessages();
     }
     send(m_program, Stopped {});
 }
@@ -91,19 +91,20 @@
     });
 }
 
-void FlowTask::drainMailbox()
+void FlowTask::processMessages()
 {
-    while (!mailbox().empty()) {
-        receive([&](Tick) { onTick(); },
-                [&](const ConfigurationInForce &inForce) { onConfiguration(inForce.configuration); },
-                [&](const VmListInForce &inForce) { onVmList(*inForce.list); },
-                [&](StatusRequest) { return report(); },
-                [&](const ExplainRequest &request) { return explain(request.flow); },
-                [&](Stop) {
-                    m_isStopping = true;
-                    m_earliestStop = currentTime() + StopDelay;
-                });
-    }
+    drainMailbox(
+        *this,
+        m_messageGuard,
+        [&](Tick) { onTick(); },
+        [&](const ConfigurationInForce &inForce) { onConfiguration(inForce.configuration); },
+        [&](const VmListInForce &inForce) { onVmList(*inForce.list); },
+        answerRequest<StatusRequest>(m_messageGuard, [&](const StatusRequest &) { return report(); }),
+        answerRequest<ExplainRequest>(m_messageGuard, [&](const ExplainRequest &request) { return explain(request.flow); }),
+        [&](Stop) {
+            m_isStopping = true;
+            m_earliestStop = currentTime() + StopDelay;
+        });
 }
 
 void FlowTask::onConfiguration(const std::shared_ptr<const Configuration> &configuration)
--- a/Services/TargetAgent/FlowTask.h
+++ b/Services/TargetAgent/FlowTask.h
@@ -10,6 +10,7 @@
 #include "LibTransport/EventLog.h"
 #include "LibTransport/EventPoll.h"
 #include "LibTransport/LwipStack.h"
+#include "LibTransport/MessageGuard.h"
 #include "LibTransport/StreamBridge.h"
 
 #include <map>
@@ -28,7 +29,7 @@
 
 private:
     void startStack();
-    void drainMailbox();
+    void processMessages();
     void onConfiguration(const std::shared_ptr<const Configuration> &configuration);
     void onVmList(const VmList &vmList);
     void updateService();
@@ -93,6 +94,7 @@
     bool m_isStopping = false;
     TimePoint m_earliestStop;
     bool m_isStopped = false;
+    MessageGuard m_messageGuard;
 };
 
 } // namespace Papaya
--- a/Tests/LibCoordination/TestVmEntries.cpp
+++ b/Tests/LibCoordination/TestVmEntries.cpp
@@ -76,10 +76,11 @@
 std::set<MemberId> placeableIn(const EntryList &list)
 {
     std::set<MemberId> placeable;
-    for (const auto &[id, target] : list) {
+    for (const auto &entry : list) {
+        const auto &target = entry.second;
         const bool isPreceded = std::any_of(list.begin(), list.end(), [&](const auto &other) { return goesBefore(other.second, target); });
         if (!target.isDraining && !isPreceded)
-            placeable.insert(id);
+            placeable.insert(entry.first);
     }
     return placeable;
 }
--- a/Tests/RelayDeployment/RelayDeployment.h
+++ b/Tests/RelayDeployment/RelayDeployment.h
@@ -53,6 +53,8 @@
 
     /// Returns whether /readyz of an entry daemon returns 200 within `limit`.
     [[nodiscard]] bool isReady(const std::string &entry, Duration limit = Duration(2'000)) const;
+    /// Returns the address of a daemon's HTTP server for operators.
+    [[nodiscard]] Endpoint operatorEndpoint(const std::string &name) const { return m_processes.at(name).operators; }
     /// Returns the body of a GET request to a daemon's HTTP server for operators. Empty on failure.
     [[nodiscard]] std::string readOperatorEndpoint(const std::string &name, const std::string &path) const;
     /// Polls `condition` until it holds, at most for `limit`. Returns whether it holds.
--- a/Tests/RelayWhole/TestRelayDaemons.cpp
+++ b/Tests/RelayWhole/TestRelayDaemons.cpp
@@ -1,3 +1,4 @@
+#include "RelayDeployment/RawHttp.h"
 #include "RelayDeployment/RelayDeployment.h"
 #include "RelayDeployment/WirePacket.h"
 
@@ -315,6 +316,57 @@
     m_deployment.waitForExit("entry-0");
 }
 
+/// A request to a daemon's HTTP server, and the status that is expected from an entry daemon and from an agent.
+struct OperatorRequest {
+    std::string method;
+    std::string target;
+    int entryStatus = 0;
+    int agentStatus = 0;
+};
+
+const std::vector<OperatorRequest> OperatorRequests {
+    {"GET", "/healthz", 200, 200},
+    {"GET", "/readyz", 200, 200},
+    {"GET", "/metrics", 200, 200},
+    {"GET", "/status", 200, 200},
+    {"GET", "/knowledge", 200, 404},
+    {"GET", "/knowledge?version=1&hash=2", 200, 404},
+    {"GET", "/knowledge?version=x", 400, 404},
+    {"GET", "/knowledgeable", 404, 404},
+    {"GET", "/explain?flow=127.0.3.1:2000-198.18.0.1:443", 200, 200},
+    {"GET", "/explain?flow=", 400, 400},
+    {"GET", "/explain?flow=%ff%fe", 400, 400},
+    {"GET", "/explain?flow=\xff\xfe", 400, 400},
+    {"GET", "/explain", 404, 404},
+    {"GET", "/", 404, 404},
+    {"GET", "/\xff\xfe", 404, 404},
+    {"POST", "/status", 405, 405},
+    {"HEAD", "/readyz", 405, 405},
+    {"DELETE", "/knowledge", 405, 405},
+    {"FROB", "/status", 405, 405},
+};
+
+// Guards against the reset of all open flows of a target, since a request to its agent's HTTP server has ended the agent's main task.
+TEST_F(RelayDaemons, NoRequestToOperatorServersStopsRelaying)
+{
+    openAll();
+    const std::vector<std::string> agents {"agent-0", "agent-1", "agent-2", "agent-3", "agent-4"};
+    for (const auto &request : OperatorRequests) {
+        const auto bytes = request.method + " " + request.target + " HTTP/1.1\r\nHost: operators\r\n\r\n";
+        for (const auto &entry : m_deployment.entryNames())
+            EXPECT_EQ(sendRawHttp(m_deployment.operatorEndpoint(entry), bytes), request.entryStatus) << request.method << request.target;
+        for (const auto &agent : agents)
+            EXPECT_EQ(sendRawHttp(m_deployment.operatorEndpoint(agent), bytes), request.agentStatus) << request.method << request.target;
+    }
+    for (const auto *bytes : {"\r\n\r\n", "\x16\x03\x01\x02", "GET\r\n\r\n"})
+        EXPECT_EQ(sendRawHttp(m_deployment.operatorEndpoint("agent-0"), bytes), 0);
+    requestOnAllFlows("after-");
+    for (const auto &agent : agents) {
+        m_deployment.signal(agent, SIGTERM);
+        EXPECT_NE(m_deployment.readOperatorEndpoint(agent, "/healthz"), "") << agent;
+    }
+}
+
 TEST_F(RelayDaemons, UnknownAddressIsResetImmediately)
 {
     const auto startedAt = currentTime();
