ListEvidence: Do not take a silent watch for a current list

Cause: a watch that had reported nothing for 150 ms counted as proof that the list of targets was current. On a silent connection it cannot report anything. Change: only an answer of the store shows that the list is current. When a reset, or the end of the wait after a start, needs it, ListCheckTask reads the store's revision on a connection of its own; if it is the received one, the list is current as of that call. Why it works: a connection of its own is not the silent one, and a store that has changes which were not received has a later revision. Tests: the fixture let resets pass by a quiet watch, which no longer exists; it now lets the platform confirm the list, throughout or at each tick, and tests that took the watch away take the confirmation away. DeniedFlowIsNotResetRightAfterSecondOutage has its bound at the stated 2,500 ms instead of 150 ms later.

--- a/Libraries/LibCoordination/EntryRelay.cpp
+++ b/Libraries/LibCoordination/EntryRelay.cpp
@@ -385,8 +385,15 @@
     entry.hasTargetList = true;
 }
 
-void markTargetsCurrent(EntryRelay &entry, TimePoint asOf)
+void markListChecked(EntryRelay &entry, const PlatformRevision &revision, TimePoint asOf)
 {
+    if (revision.number > 0 && revision == entry.receivedRevision)
+        markTargetsCurrent(entry, asOf, revision);
+}
+
+void markTargetsCurrent(EntryRelay &entry, TimePoint asOf, const PlatformRevision &revision)
+{
+    entry.receivedRevision = revision;
     entry.targetsCurrentAsOf = std::max(entry.targetsCurrentAsOf, asOf);
     if (!entry.firstTargetListAsOf)
         entry.firstTargetListAsOf = asOf;
--- a/Libraries/LibCoordination/EntryRelay.h
+++ b/Libraries/LibCoordination/EntryRelay.h
@@ -64,8 +64,6 @@
     /// For this long after a change of the routes, packets of unknown flows to addresses without a route are dropped instead of
     /// reset: other entry daemons may have received the new route earlier.
     Duration routePropagationTime {1'500};
-    /// Maximum time that the platform takes to report a change to a watch.
-    Duration watchLatency {150};
     /// A flow that every agent denied is reset once the list of targets is current. If the requests of its route are idempotent, the
     /// flow is reset after this time even with an older list, though not while the list may lack targets that serve: waiting longer
     /// for a slow platform costs the caller more than opening another flow.
@@ -216,8 +214,8 @@
     /// The time up to which the first list that was read from the platform is complete; nothing before it. If the platform was unreachable
     /// before that list could count as complete, the first list since its return.
     std::optional<TimePoint> firstTargetListAsOf;
-    /// Start of the current watch on the platform, which has reported nothing so far; nothing while no watch is open.
-    std::optional<TimePoint> watchStartedAt;
+    /// The platform's revision up to which all changes have been applied; number 0 before the platform itself was read.
+    PlatformRevision receivedRevision;
     /// Flows that the agents of all targets in the directory denied. They are reset only when the list of targets is current,
     /// since their target may have been listed too recently to be in the directory.
     std::vector<FlowKey> pendingResets;
@@ -240,7 +238,8 @@
     /// Sends the caller a TCP reset with this sequence number. The caller's stack accepts a reset only if its sequence number is
     /// near the one that the stack expects next.
     virtual void resetCaller(const FlowKey &flow, std::uint32_t sequence) = 0;
-    /// Requests the platform's changes immediately instead of with the next periodic read.
+    /// Requests the platform's changes immediately instead of with the next periodic read, and whether there are others than those received
+    /// (markListChecked()). May be called often.
     virtual void refreshTargets() = 0;
     virtual void recordDecision(const FlowKey &flow, RelayReason reason, const Endpoint &agent) = 0;
 };
@@ -274,8 +273,12 @@
 /// Returns whether routes and targets have been read. Until then a missing route or flow does not mean that it does not exist.
 [[nodiscard]] bool hasRoutesAndTargets(const EntryRelay &entry);
 
-/// Records that the platform has reported all changes up to a time.
-void markTargetsCurrent(EntryRelay &entry, TimePoint asOf);
+/// Records that the platform has reported all changes up to a time and a revision.
+void markTargetsCurrent(EntryRelay &entry, TimePoint asOf, const PlatformRevision &revision = {});
+
+/// Records the platform's revision at a time, as a call on another connection than the watch's returned it. If it is the received one, all
+/// changes up to that time have been applied.
+void markListChecked(EntryRelay &entry, const PlatformRevision &revision, TimePoint asOf);
 
 /// Records that the platform is reachable again, or for the first time. Entries that expired while it was unavailable are listed again
 /// within `relistingTime` from now on. Call before its list is applied.
--- a/Libraries/LibCoordination/EntrySearch.cpp
+++ b/Libraries/LibCoordination/EntrySearch.cpp
@@ -84,7 +84,7 @@
 {
     if (mayListLackTargets(entry, now))
         return false;
-    if (areTargetsCurrentAsOf(entry, requiredTargetListTime(entry, key, flow), now))
+    if (areTargetsCurrentAsOf(entry, requiredTargetListTime(entry, key, flow)))
         return true;
     const bool hasDelayElapsed = now - flow.searchStartedAt >= entry.limits.maximumResetDelay;
     return hasDelayElapsed && isIdempotent(entry, key);
--- a/Libraries/LibCoordination/EntryUpkeep.cpp
+++ b/Libraries/LibCoordination/EntryUpkeep.cpp
@@ -65,6 +65,8 @@
         else if (flow.stage == EntryFlowStage::Open && checkOpenFlow(entry, key, flow, now, output))
             entry.flows.erase(current);
     }
+    if (isListCheckDue(entry, now))
+        output.refreshTargets();
     if (!mayListLackTargets(entry, now))
         retryPendingResets(entry, now, output);
     sendQueries(entry, now, output);
--- a/Libraries/LibCoordination/ListEvidence.cpp
+++ b/Libraries/LibCoordination/ListEvidence.cpp
@@ -41,18 +41,16 @@
 
 } // namespace
 
-bool areTargetsCurrentAsOf(const EntryRelay &entry, TimePoint time, TimePoint now)
+bool areTargetsCurrentAsOf(const EntryRelay &entry, TimePoint time)
 {
-    const bool hasQuietWatch = entry.watchStartedAt && now - *entry.watchStartedAt >= entry.limits.watchLatency;
-    const auto completeAt = hasQuietWatch ? std::max(entry.targetsCurrentAsOf, now - entry.limits.watchLatency) : entry.targetsCurrentAsOf;
-    return completeAt >= time;
+    return entry.targetsCurrentAsOf >= time;
 }
 
 ListEvidence listEvidence(const EntryRelay &entry, TimePoint now)
 {
     if (!entry.firstTargetListAsOf)
         return ListEvidence::None;
-    if (areTargetsCurrentAsOf(entry, *entry.firstTargetListAsOf + entry.limits.relistingTime, now))
+    if (areTargetsCurrentAsOf(entry, *entry.firstTargetListAsOf + entry.limits.relistingTime))
         return ListEvidence::Elapsed;
     if (entry.peerEvidence == PeerEvidence::Settled)
         return ListEvidence::Peer;
@@ -74,6 +72,13 @@
     return "unknown";
 }
 
+bool isListCheckDue(const EntryRelay &entry, TimePoint now)
+{
+    if (!mayListLackTargets(entry, now))
+        return false;
+    return entry.firstTargetListAsOf && now - *entry.firstTargetListAsOf >= entry.limits.relistingTime;
+}
+
 bool mayListLackTargets(const EntryRelay &entry, TimePoint now)
 {
     return listEvidence(entry, now) == ListEvidence::None;
--- a/Libraries/LibCoordination/ListEvidence.h
+++ b/Libraries/LibCoordination/ListEvidence.h
@@ -30,8 +30,11 @@
 /// Returns whether there is no evidence that the list of targets lacks none that serves.
 [[nodiscard]] bool mayListLackTargets(const EntryRelay &entry, TimePoint now);
 
-/// Returns whether the directory holds every target that was listed at a time. A watch that has been open for at least
-/// `watchLatency` without reporting a change shows that the directory is complete up to `watchLatency` ago.
-[[nodiscard]] bool areTargetsCurrentAsOf(const EntryRelay &entry, TimePoint time, TimePoint now);
+/// Returns whether the platform should be asked whether the list is current, since that would end the wait for expired entries.
+[[nodiscard]] bool isListCheckDue(const EntryRelay &entry, TimePoint now);
+
+/// Returns whether the directory holds every target that was listed at a time. Only an answer of the platform shows that: a watch that
+/// reports nothing may wait on a connection that has gone silent.
+[[nodiscard]] bool areTargetsCurrentAsOf(const EntryRelay &entry, TimePoint time);
 
 } // namespace Papaya
--- a/Libraries/LibEmulator/EmulatedEntry.cpp
+++ b/Libraries/LibEmulator/EmulatedEntry.cpp
@@ -96,9 +96,15 @@
     (void)applyWithdrawn(m_relay.directory, target, m_events.now() + grace);
 }
 
-void EmulatedEntry::onCurrent(TimePoint asOf)
+void EmulatedEntry::onCurrent(TimePoint asOf, const PlatformRevision &revision)
 {
-    markTargetsCurrent(m_relay, asOf);
+    markTargetsCurrent(m_relay, asOf, revision);
+    retryPendingResets(m_relay, m_events.now(), *this);
+}
+
+void EmulatedEntry::onChecked(const PlatformRevision &revision, TimePoint asOf)
+{
+    markListChecked(m_relay, revision, asOf);
     retryPendingResets(m_relay, m_events.now(), *this);
 }
 
--- a/Libraries/LibEmulator/EmulatedEntry.h
+++ b/Libraries/LibEmulator/EmulatedEntry.h
@@ -51,9 +51,9 @@
     void onTargetList(const std::vector<PublishedTarget> &targets, Duration grace) override;
     void onTarget(const PublishedTarget &target) override;
     void onWithdrawal(MemberId target, Duration grace) override;
-    void onCurrent(TimePoint asOf) override;
+    void onCurrent(TimePoint asOf, const PlatformRevision &revision) override;
+    void onChecked(const PlatformRevision &revision, TimePoint asOf) override;
     void onReachable() override;
-    void onWatch(std::optional<TimePoint> startedAt) override { m_relay.watchStartedAt = startedAt; }
 
     void handleDatagram(const Endpoint &agent, std::span<const std::byte> datagram);
     void subscribeTo(const PublishedTarget &target);
--- a/Libraries/LibEmulator/EmulatedStoreClient.cpp
+++ b/Libraries/LibEmulator/EmulatedStoreClient.cpp
@@ -13,6 +13,7 @@
 /// Pause after a batch of changes, and the part of it that a refresh does not shorten.
 constexpr Duration BatchDelay {700};
 constexpr Duration MinimumBatchDelay {100};
+constexpr Duration CheckInterval {150};
 constexpr Duration InitialRetryDelay {150};
 constexpr Duration MaximumRetryDelay {1'000};
 /// Time after the store became reachable in which withdrawn targets may be listed again.
@@ -41,6 +42,7 @@
     m_isAnswering = false;
     m_isReachable = false;
     m_isPausing = false;
+    m_checkedAt.reset();
     m_failures = 0;
     m_routesVersion = 0;
     call(Duration(0));
@@ -105,14 +107,13 @@
     m_revision = m_store.revision();
     m_output.onRoutes(m_store.routes());
     m_output.onTargetList(m_store.targets(), withdrawalGrace());
-    m_output.onCurrent(startedAt);
+    m_output.onCurrent(startedAt, {m_epoch, *m_revision});
     call(Duration(0));
 }
 
 void EmulatedStoreClient::beginWatch()
 {
     m_watchStartedAt = m_events.now();
-    m_output.onWatch(m_watchStartedAt);
     answerWatch();
 }
 
@@ -126,7 +127,6 @@
         const auto startedAt = *m_watchStartedAt;
         m_watchStartedAt.reset();
         m_isAnswering = false;
-        m_output.onWatch(std::nullopt);
         if (!m_store.isReachable() || m_store.epoch() != m_epoch) {
             fail();
             return;
@@ -140,7 +140,7 @@
                 m_output.onTarget(entry.target);
         }
         m_revision = m_store.revision();
-        m_output.onCurrent(std::max(startedAt, m_events.now() - WatchLatency));
+        m_output.onCurrent(std::max(startedAt, m_events.now() - WatchLatency), {m_epoch, *m_revision});
         m_isPausing = true;
         schedule(BatchDelay, [this, pause = ++m_pause] {
             if (m_isPausing && pause == m_pause)
@@ -149,8 +149,21 @@
     });
 }
 
+void EmulatedStoreClient::checkRevision()
+{
+    const auto startedAt = m_events.now();
+    if (m_checkedAt && startedAt - *m_checkedAt < CheckInterval)
+        return;
+    m_checkedAt = startedAt;
+    schedule(callTime(), [this, startedAt] {
+        if (m_store.isReachable())
+            m_output.onChecked({m_store.epoch(), m_store.revision()}, startedAt);
+    });
+}
+
 void EmulatedStoreClient::requestRefresh()
 {
+    checkRevision();
     if (!std::exchange(m_isPausing, false))
         return;
     call(MinimumBatchDelay);
--- a/Libraries/LibEmulator/EmulatedStoreClient.h
+++ b/Libraries/LibEmulator/EmulatedStoreClient.h
@@ -18,9 +18,9 @@
     virtual void onTargetList(const std::vector<PublishedTarget> &targets, Duration grace) = 0;
     virtual void onTarget(const PublishedTarget &target) = 0;
     virtual void onWithdrawal(MemberId target, Duration grace) = 0;
-    virtual void onCurrent(TimePoint asOf) = 0;
+    virtual void onCurrent(TimePoint asOf, const PlatformRevision &revision) = 0;
+    virtual void onChecked(const PlatformRevision &revision, TimePoint asOf) = 0;
     virtual void onReachable() = 0;
-    virtual void onWatch(std::optional<TimePoint> startedAt) = 0;
 };
 
 /// The reader of the store in an emulated entry daemon: it reads everything, then watches for changes, with a pause after each
@@ -32,7 +32,7 @@
 
     /// Starts reading, as in a new process.
     void start();
-    /// Ends the pause after a batch of changes.
+    /// Ends the pause after a batch of changes, and asks for the store's revision.
     void requestRefresh();
 
 private:
@@ -41,6 +41,8 @@
     void beginWatch();
     void answerWatch();
     void fail();
+    /// Asks for the store's revision on a connection of its own, unless that was done within `CheckInterval`.
+    void checkRevision();
     void succeed();
     void schedule(Duration delay, EventQueue::Action action);
     [[nodiscard]] Duration callTime();
@@ -62,6 +64,7 @@
     /// Identifies the pause that a refresh may end.
     std::uint64_t m_pause = 0;
     bool m_isPausing = false;
+    std::optional<TimePoint> m_checkedAt;
 };
 
 } // namespace Papaya::Emulator
--- a/Libraries/LibTransport/RelayUpdates.h
+++ b/Libraries/LibTransport/RelayUpdates.h
@@ -17,19 +17,28 @@
     std::shared_ptr<const RouteTable> routes;
 };
 
-/// All target changes that the platform had at the time `asOf` have been sent to the main task.
+/// All changes that the platform had at the time `asOf`, up to `revision`, have been sent to the main task.
 struct TargetsCurrent {
     TimePoint asOf;
+    PlatformRevision revision;
 };
 
-/// The platform responded for the first time, or again after a failure.
-struct PlatformReachable {
+/// The platform's revision at the time `asOf`, read on a connection of its own.
+struct ListChecked {
+    PlatformRevision revision;
+    TimePoint asOf;
+};
+
+/// Requests a ListChecked. Sent by the main task. A check that fails has no answer.
+struct ListCheckRequest {
 };
 
-/// A watch request to the platform started or ended.
-struct WatchStateChanged {
-    /// When the watch request that waits for changes was sent. Empty if there is none.
-    std::optional<TimePoint> watchStartedAt;
+/// The first message of the task that answers a ListCheckRequest.
+struct ListCheckReady {
+};
+
+/// The platform responded for the first time, or again after a failure.
+struct PlatformReachable {
 };
 
 /// Requests changes from the platform without delay. Sent by the main task.
@@ -60,7 +69,9 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::RoutesReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::TargetsCurrent)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::PlatformReachable)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::WatchStateChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::ListChecked)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::ListCheckRequest)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::ListCheckReady)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::RefreshRequest)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::TargetsListed)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Papaya::TargetPublished)
--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -37,6 +37,8 @@
 constexpr KnowledgeFetchLimits OutageFetch {1, 60};
 /// How often the subscriptions to the agents' load reports are renewed.
 constexpr Duration SubscriptionInterval {2'000};
+/// Minimum time between two requests for the store's revision.
+constexpr Duration ListCheckInterval {150};
 /// How often the entries that are set aside are logged.
 constexpr Duration SetAsideLogInterval {1'000};
 /// Limit on the entries that an explanation lists as set aside.
@@ -232,11 +234,15 @@
         [&](const TargetsCurrent &current) {
             m_storeTask = current_sender();
             m_isRefreshPending = false;
-            markTargetsCurrent(m_relay, current.asOf);
+            markTargetsCurrent(m_relay, current.asOf, current.revision);
+            retryPendingResets(m_relay, currentTime(), *this);
+        },
+        [&](ListCheckReady) { m_listCheckTask = current_sender(); },
+        [&](const ListChecked &checked) {
+            markListChecked(m_relay, checked.revision, checked.asOf);
             retryPendingResets(m_relay, currentTime(), *this);
         },
         [&](PlatformReachable) { markPlatformReachable(m_relay, currentTime()); },
-        [&](const WatchStateChanged &changed) { m_relay.watchStartedAt = changed.watchStartedAt; },
         [&](const TargetPublished &published) { applyPublishedTarget(published.target); },
         [&](const TargetWithdrawn &withdrawn) { withdrawTarget(withdrawn.target, withdrawn.grace); },
         [&](const RelaySettingsChanged &) { EventLog("settings_changed").with("applied", "at_next_start"); },
@@ -317,6 +323,12 @@
 {
     if (m_storeTask && !std::exchange(m_isRefreshPending, true))
         send(caf::actor_cast<caf::actor>(m_storeTask), RefreshRequest {});
+    const auto now = currentTime();
+    if (!m_listCheckTask || now - m_listCheckedAt < ListCheckInterval)
+        return;
+    m_listCheckedAt = now;
+    m_metrics.count("list_checks");
+    send(caf::actor_cast<caf::actor>(m_listCheckTask), ListCheckRequest {});
 }
 
 void RelayEntryTask::recordDecision(const FlowKey &flow, RelayReason reason, const Endpoint &agent)
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -81,6 +81,9 @@
     /// such message arrives.
     caf::strong_actor_ptr m_storeTask;
     bool m_isRefreshPending = false;
+    /// The Platform::ListCheckTask. Null until its first message arrives.
+    caf::strong_actor_ptr m_listCheckTask;
+    TimePoint m_listCheckedAt;
     EventPoll m_poll;
     RelayEncoder m_encoder;
     EntryRelay m_relay;
--- a/Services/RelayEntry/main.cpp
+++ b/Services/RelayEntry/main.cpp
@@ -1,5 +1,6 @@
 #include "RelayEntryTask.h"
 
+#include "platform/ListCheckTask.h"
 #include "platform/StoreTask.h"
 
 namespace {
@@ -18,6 +19,7 @@
         system.spawn<Papaya::RelayEntryTask, caf::detached>(settings, std::move(callers.value()), std::move(daemon.value()), program);
     const Papaya::Platform::StoreReaderOptions store {settings.platform, settings.daemon.port, settings.stalenessLimit};
     system.spawn<Papaya::Platform::StoreTask, caf::detached>(store, Papaya::hashOf(settings.name), task);
+    system.spawn<Papaya::Platform::ListCheckTask, caf::detached>(settings.platform, task);
     return task;
 }
 
--- a/Tests/LibCoordination/EntryRelayFixture.h
+++ b/Tests/LibCoordination/EntryRelayFixture.h
@@ -114,10 +114,18 @@
         m_entry.startedAt = Start;
         ASSERT_TRUE(setRoutes(m_entry, routes, Start));
         m_entry.hasTargetList = true;
-        m_entry.watchStartedAt = Start;
-        // The daemon first read the platform long ago.
+        // The daemon first read the platform long ago, and the platform confirms the list throughout.
         markTargetsCurrent(m_entry, at(-60'000));
-        markTargetsCurrent(m_entry, Start);
+        markTargetsCurrent(m_entry, at(1'000'000));
+    }
+
+    /// From now on the platform does not confirm the list; it was current at the start.
+    void endConfirmation() { m_entry.targetsCurrentAsOf = Start; }
+    /// From now on the platform confirms the list at each tick only.
+    void confirmAtTicks()
+    {
+        endConfirmation();
+        m_isConfirmedAtTicks = true;
     }
 
     void publish(const PublishedTarget &target, int milliseconds = 0)
@@ -152,6 +160,8 @@
     {
         for (int time = from; time <= until; time += 100) {
             markAgentMessagesRead(m_entry, at(time));
+            if (m_isConfirmedAtTicks)
+                markTargetsCurrent(m_entry, at(time));
             onEntryTick(m_entry, at(time), m_output);
         }
     }
@@ -160,6 +170,7 @@
 
     EntryRelay m_entry;
     Recorder m_output;
+    bool m_isConfirmedAtTicks = false;
 };
 
 /// The same, for searches.
--- a/Tests/LibCoordination/TestEntryRelay.cpp
+++ b/Tests/LibCoordination/TestEntryRelay.cpp
@@ -152,6 +152,7 @@
 // daemon had placed a late copy of the SYN there while the flow was open at another target.
 TEST_F(EntryRelayTest, SynAckOfAnotherHandshakeDoesNotConfirmFlow)
 {
+    endConfirmation();
     publish(makeTarget(1));
     receive(makeSyn(), 0);
     receive(makeData(901), 1);
--- a/Tests/LibCoordination/TestEntrySearch.cpp
+++ b/Tests/LibCoordination/TestEntrySearch.cpp
@@ -34,18 +34,72 @@
 
 TEST_F(EntrySearchTest, DeniedFlowIsResetOnceTargetListIsCurrent)
 {
+    constexpr PlatformRevision Received {1, 40};
+    endConfirmation();
+    markTargetsCurrent(m_entry, Start, Received);
     publish(makeTarget(1));
     publish(makeTarget(2));
     receive(makeData(501), 1'000);
     notify(1, NoticeKind::Denied, 1'002);
     notify(2, NoticeKind::Denied, 1'002);
-    // A target that was listed just before the search may hold the flow. The watch would have reported it by 1,150 ms.
+    // A target that was listed just before the search may hold the flow.
     EXPECT_TRUE(m_output.resets.empty());
     EXPECT_EQ(m_output.refreshes, 1);
-    onEntryTick(m_entry, at(1'200), m_output);
+    markListChecked(m_entry, Received, at(1'004));
+    retryPendingResets(m_entry, at(1'010), m_output);
     EXPECT_EQ(m_output.resets, std::vector<std::uint32_t> {501});
 }
 
+// Guards against the reset of open flows of a target that was added while the connection to the platform was silent: a watch that reported
+// nothing counted as proof of a current list.
+TEST_F(EntrySearchTest, DeniedFlowIsNotResetWhilePlatformIsSilent)
+{
+    m_entry.startedAt = LongAgo;
+    endConfirmation();
+    publish(makeTarget(1));
+    receive(makeData(501), 5'000);
+    notify(1, NoticeKind::Denied, 5'002);
+    tickUntil(5'100, 9'000);
+    EXPECT_TRUE(m_output.resets.empty());
+    EXPECT_GT(m_output.refreshes, 0);
+    // The target that was added is read at last.
+    publish(makeTarget(2), 9'000);
+    markTargetsCurrent(m_entry, at(9'000));
+    retryPendingResets(m_entry, at(9'000), m_output);
+    EXPECT_EQ(lastAgent(), 2U);
+}
+
+// Guards against a list that counts as current although the platform has changes that were not received.
+TEST_F(EntrySearchTest, ListIsCurrentOnlyIfPlatformHasReceivedRevision)
+{
+    constexpr PlatformRevision Received {2, 40};
+    endConfirmation();
+    EXPECT_EQ(m_entry.receivedRevision.number, 0U);
+    markListChecked(m_entry, {}, at(500));
+    markTargetsCurrent(m_entry, Start, Received);
+    markListChecked(m_entry, {2, 41}, at(1'000));
+    markListChecked(m_entry, {3, 40}, at(1'000));
+    EXPECT_FALSE(areTargetsCurrentAsOf(m_entry, at(1)));
+    markListChecked(m_entry, Received, at(1'000));
+    EXPECT_TRUE(areTargetsCurrentAsOf(m_entry, at(1'000)));
+    EXPECT_FALSE(areTargetsCurrentAsOf(m_entry, at(1'001)));
+}
+
+// Guards against a daemon that waits for the end of a watch before it counts its list as settled after a start.
+TEST_F(EntrySearchTest, ListIsCheckedOnceExpiredEntriesAreListedAgain)
+{
+    endConfirmation();
+    m_entry.firstTargetListAsOf = Start;
+    publish(makeTarget(1));
+    tickUntil(0, 2'400);
+    EXPECT_EQ(m_output.refreshes, 0);
+    tickUntil(2'500, 2'500);
+    EXPECT_EQ(m_output.refreshes, 1);
+    markTargetsCurrent(m_entry, at(2'500));
+    tickUntil(2'600, 4'000);
+    EXPECT_EQ(m_output.refreshes, 1);
+}
+
 // Failure: after a restart of the store the list that a new entry daemon reads first lacks a serving target, and its flows are reset.
 TEST_F(EntrySearchTest, DeniedFlowIsNotResetWhileExpiredEntriesMayBeMissing)
 {
@@ -53,6 +107,7 @@
         m_entry = EntryRelay {};
         SetUp();
         m_output = Recorder {};
+        confirmAtTicks();
         m_entry.firstTargetListAsOf = Start;
         m_entry.routes.routes[ServiceAddress].isIdempotent = true;
         publish(makeTarget(1));
@@ -79,7 +134,7 @@
 TEST_F(EntrySearchTest, DeniedFlowIsNotResetWhileListIsOlderThanRelisting)
 {
     m_entry.firstTargetListAsOf = Start;
-    m_entry.watchStartedAt.reset();
+    endConfirmation();
     m_entry.routes.routes[ServiceAddress].isIdempotent = true;
     publish(makeTarget(1));
     receive(makeData(501), 500);
@@ -96,7 +151,7 @@
 TEST_F(EntrySearchTest, DeniedFlowIsNotResetRightAfterSecondOutage)
 {
     m_entry.firstTargetListAsOf = Start;
-    m_entry.watchStartedAt.reset();
+    endConfirmation();
     m_entry.routes.routes[ServiceAddress].isIdempotent = true;
     publish(makeTarget(1));
     receive(makeData(501), 500);
@@ -104,17 +159,18 @@
     tickUntil(600, 5'000);
     markPlatformReachable(m_entry, at(5'000));
     markTargetsCurrent(m_entry, at(5'000));
-    m_entry.watchStartedAt = at(5'000);
-    tickUntil(5'100, 7'600);
+    m_isConfirmedAtTicks = true;
+    // Expired entries are listed again until 7,500 ms.
+    tickUntil(5'100, 7'400);
     EXPECT_TRUE(m_output.resets.empty());
-    tickUntil(7'700, 7'800);
+    tickUntil(7'500, 7'600);
     EXPECT_EQ(m_output.resets.size(), 1U);
 }
 
 TEST_F(EntrySearchTest, TargetListedAfterAllDenialsIsAsked)
 {
     publish(makeTarget(1));
-    m_entry.watchStartedAt.reset();
+    endConfirmation();
     receive(makeData(501), 1'000);
     notify(1, NoticeKind::Denied, 1'002);
     onEntryTick(m_entry, at(1'600), m_output);
@@ -219,7 +275,7 @@
         SetUp();
         m_output = Recorder {};
         m_entry.routes.routes[ServiceAddress].isIdempotent = isIdempotent;
-        m_entry.watchStartedAt.reset();
+        endConfirmation();
         publish(makeTarget(1), 1'990);
         receive(makeData(501), 2'000);
         notify(1, NoticeKind::Denied, 2'002);
@@ -297,6 +353,7 @@
         m_entry = EntryRelay {};
         SetUp();
         m_output = Recorder {};
+        confirmAtTicks();
         m_entry.firstTargetListAsOf = Start;
         m_entry.startIncarnation = StartTime;
         for (std::uint32_t number = 1; number <= 3; ++number) {
@@ -318,6 +375,7 @@
 TEST_F(EntrySearchTest, DeniedFlowIsNotResetBeforeMostAgentsAreHeard)
 {
     constexpr Incarnation StartTime = 1'000'000;
+    endConfirmation();
     m_entry.firstTargetListAsOf = Start;
     m_entry.startIncarnation = StartTime;
     for (std::uint32_t number = 1; number <= 3; ++number) {
@@ -453,7 +511,7 @@
 TEST_F(EntrySearchTest, DaemonThatHasJustStartedNeedsListAsNewAsSearch)
 {
     publish(makeTarget(1));
-    m_entry.watchStartedAt.reset();
+    endConfirmation();
     markTargetsCurrent(m_entry, at(1'900));
     receive(makeData(501), 2'000);
     notify(1, NoticeKind::Denied, 2'002);
--- a/Tests/LibCoordination/TestForeignEntries.cpp
+++ b/Tests/LibCoordination/TestForeignEntries.cpp
@@ -242,7 +242,7 @@
 TEST_F(ForeignEntries, AgentIsAskedAgainForServiceOfTargetThatIsReadLater)
 {
     m_entry.startedAt = Start;
-    m_entry.watchStartedAt.reset();
+    endConfirmation();
     publish(makeOwn(1));
     publish(makeTarget(2, "node-metrics"));
     receive(makeData(501), 2'000);
