--- a/Tests/Platform/TestStoreReader.cpp
+++ b/Tests/Platform/TestStoreReader.cpp
@@ -247,6 +247,20 @@
     EXPECT_TRUE(m_targets.contains("i-1"));
 }
 
+// Guards against a silent connection that is noticed too late: the pause after a batch of changes was not part of the watch's time.
+TEST_F(StoreReaderTest, PauseSinceLastResponseShortensWatch)
+{
+    constexpr Duration WatchTime {300};
+    constexpr Duration Pause {200};
+    readUntilCurrent();
+    m_store.put(targetKey(2), targetText(2));
+    ASSERT_EQ(m_reader.readOrWatch().value(), StoreProgress::Changed);
+    const auto respondedAt = currentTime();
+    std::this_thread::sleep_for(Pause);
+    ASSERT_EQ(m_reader.readOrWatch().value(), StoreProgress::Current);
+    EXPECT_LT(currentTime() - respondedAt, WatchTime + Pause / 2);
+}
+
 // Guards against a watch that returns changes only at its end.
 TEST_F(StoreReaderTest, WaitingWatchReportsChange)
 {
