--- a/Services/RelayEntry/RelayEntryTask.cpp
+++ b/Services/RelayEntry/RelayEntryTask.cpp
@@ -37,8 +37,10 @@
 constexpr KnowledgeFetchLimits OutageFetch {1, 60};
 /// How often the subscriptions to the agents' load reports are renewed.
 constexpr Duration SubscriptionInterval {2'000};
-/// Minimum time between two requests for the store's revision.
-constexpr Duration ListCheckInterval {150};
+/// Minimum time between two requests for the store's revision. It doubles with each one that did not show that the list is current, since
+/// the store may be unavailable for long.
+constexpr Duration InitialListCheckInterval {150};
+constexpr Duration MaximumListCheckInterval {1'000};
 /// How often the entries that are set aside are logged.
 constexpr Duration SetAsideLogInterval {1'000};
 /// Limit on the entries that an explanation lists as set aside.
@@ -112,6 +114,7 @@
     , m_monitor(std::move(program.monitor))
     , m_routineLogLimiter(RoutineLinesPerSecond)
     , m_failureLogLimiter(FailureLinesPerSecond)
+    , m_listCheckInterval(InitialListCheckInterval)
 {
     m_relay.failureDomain = m_settings.failureDomain;
     m_relay.searchBandwidth = makeTokenBucket(m_settings.linkMegabits * BytesPerMegabit * SearchShareOfLink, SearchBurst);
@@ -235,12 +238,13 @@
             m_storeTask = current_sender();
             m_isRefreshPending = false;
             markTargetsCurrent(m_relay, current.asOf, current.revision);
-            retryPendingResets(m_relay, currentTime(), *this);
+            onListConfirmed();
         },
         [&](ListCheckReady) { m_listCheckTask = current_sender(); },
         [&](const ListChecked &checked) {
             markListChecked(m_relay, checked.revision, checked.asOf);
-            retryPendingResets(m_relay, currentTime(), *this);
+            if (areTargetsCurrentAsOf(m_relay, checked.asOf))
+                onListConfirmed();
         },
         [&](PlatformReachable) { markPlatformReachable(m_relay, currentTime()); },
         [&](const TargetPublished &published) { applyPublishedTarget(published.target); },
@@ -324,13 +328,20 @@
     if (m_storeTask && !std::exchange(m_isRefreshPending, true))
         send(caf::actor_cast<caf::actor>(m_storeTask), RefreshRequest {});
     const auto now = currentTime();
-    if (!m_listCheckTask || now - m_listCheckedAt < ListCheckInterval)
+    if (!m_listCheckTask || now - m_listCheckedAt < m_listCheckInterval)
         return;
     m_listCheckedAt = now;
+    m_listCheckInterval = std::min<Duration>(m_listCheckInterval * 2, MaximumListCheckInterval);
     m_metrics.count("list_checks");
     send(caf::actor_cast<caf::actor>(m_listCheckTask), ListCheckRequest {});
 }
 
+void RelayEntryTask::onListConfirmed()
+{
+    m_listCheckInterval = InitialListCheckInterval;
+    retryPendingResets(m_relay, currentTime(), *this);
+}
+
 void RelayEntryTask::recordDecision(const FlowKey &flow, RelayReason reason, const Endpoint &agent)
 {
     ++m_decisionCounts[static_cast<std::size_t>(reason)];
--- a/Services/RelayEntry/RelayEntryTask.h
+++ b/Services/RelayEntry/RelayEntryTask.h
@@ -63,6 +63,8 @@
     void subscribeTo(const PublishedTarget &target);
     void subscribeToAgents();
     void onTick();
+    /// Continues the searches that waited for a current list.
+    void onListConfirmed();
     /// Logs and counts the entries of the platform that are set aside.
     void logSetAside(TimePoint now);
     /// Logs once which evidence ended the wait for entries that may be missing from the list of targets.
@@ -90,6 +92,7 @@
     Metrics m_metrics;
     LogRateLimiter m_routineLogLimiter;
     LogRateLimiter m_failureLogLimiter;
+    Duration m_listCheckInterval;
     SetAsideLog m_setAsideLog;
     std::array<std::uint64_t, RelayReasonCount> m_decisionCounts {};
     std::uint64_t m_packetCount = 0;
