--- a/review/stand-ins-2/Harness.cpp
+++ b/review/stand-ins-2/Harness.cpp
@@ -1191,7 +1191,7 @@
 /// An entry daemon is added, so that flows move to it. A target crashes after callers have got much data on these flows.
 int runMovedFlows(Deployment &deployment, bool hasTrouble, Record &record)
 {
-    constexpr int Flows = 16;
+    constexpr int Flows = 36;
     constexpr int Rounds = 100;
     auto &callers = deployment.callers();
     for (int target = 0; target < Targets; ++target)
