--- a/review/stand-ins-2/Harness.cpp
+++ b/review/stand-ins-2/Harness.cpp
@@ -52,7 +52,7 @@
 constexpr std::uint16_t OutboundPort = 18'162;
 constexpr std::uint16_t StorePort = 18'169;
 constexpr std::uint16_t ServicePort = 8'443;
-constexpr std::uint32_t ServiceHost = 0xc6120001;
+constexpr std::uint32_t ServiceHost = 0x7f001201;
 
 constexpr int Targets = 4;
 constexpr int Entries = 3;
@@ -953,14 +953,14 @@
     {
         std::string routes;
         for (int route = 0; route < furtherRoutes; ++route) {
-            routes += (routes.empty() ? "" : ",") + std::string(R"({"Name":"r-f)") + std::to_string(10'000 + route) + R"(","Host":"198.19.)"
+            routes += (routes.empty() ? "" : ",") + std::string(R"({"Name":"r-f)") + std::to_string(10'000 + route) + R"(","Host":"127.1.)"
                       + std::to_string(route / 250) + "." + std::to_string(route % 250)
                       + R"(","Prefix":"/443/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":250,"Priority":2,"Service":"ledger",)"
                       + R"("MaxAttempts":2})";
         }
         for (const auto port : ports) {
             routes +=
-                (routes.empty() ? "" : ",") + std::string(R"({"Name":"r-)") + std::to_string(port) + R"(","Host":"198.18.0.1","Prefix":"/)"
+                (routes.empty() ? "" : ",") + std::string(R"({"Name":"r-)") + std::to_string(port) + R"(","Host":"127.0.18.1","Prefix":"/)"
                 + std::to_string(port)
                 + R"(/","Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Priority":1,"Service":"ledger","MaxAttempts":2})";
         }
